--- a/bench/share_bench.cc
+++ b/bench/share_bench.cc
@@ -1,7 +1,7 @@
 // Time until connections are where the demand is, at both users' sizes; the fixed split beside it.
 
+#include "kv_service/share_ledger_codec.h"
 #include "load/virtual_time.h"
-#include "platform/share_ledger_codec.h"
 #include "share/share_table.h"
 
 #include <algorithm>
--- a/include/citronfall/bounded_ring.h
+++ b/include/citronfall/bounded_ring.h
@@ -76,6 +76,15 @@
         return take_oldest();
     }
 
+    /// Takes the oldest element, waiting for one for at most `longest`. Returns nothing after that or once closed and
+    /// empty.
+    [[nodiscard]] std::optional<T> pop_for(duration longest)
+    {
+        std::unique_lock lock(mutex_);
+        has_element_.wait_for(lock, longest, [this] { return closed_ || count_ > 0; });
+        return take_oldest();
+    }
+
     /// Takes the oldest element if there is one; never waits.
     [[nodiscard]] std::optional<T> try_pop()
     {
--- a/include/citronfall/error_kind.h
+++ b/include/citronfall/error_kind.h
@@ -26,6 +26,14 @@
     conflict,
     transaction_lost,
     outcome_unknown,
+    unknown_database,
+    unknown_prepared_name,
+    not_primary,
+    replica_behind,
+    wrong_member,
+    too_many_connections,
+    statement_failed,
+    statement_timeout,
     internal,
 };
 
--- a/include/citronfall/peer_message.h
+++ b/include/citronfall/peer_message.h
@@ -2,10 +2,14 @@
 
 #include "citronfall/peer_digest.h"
 #include "citronfall/peer_hello.h"
+#include "citronfall/primary_notice.h"
 #include "citronfall/section_update.h"
 #include "citronfall/share_ack.h"
 #include "citronfall/share_grant.h"
 #include "citronfall/share_request.h"
+#include "citronfall/store_changes.h"
+#include "citronfall/store_digest.h"
+#include "citronfall/store_request.h"
 #include "citronfall/suspicion_query.h"
 #include "citronfall/suspicion_reply.h"
 
@@ -14,7 +18,8 @@
 namespace citronfall {
 
 /// Everything that one daemon says to another.
-using peer_message = std::variant<peer_hello, peer_digest, section_update, suspicion_query, suspicion_reply,
-                                  share_request, share_grant, share_ack>;
+using peer_message =
+    std::variant<peer_hello, peer_digest, section_update, suspicion_query, suspicion_reply, share_request, share_grant,
+                 share_ack, store_digest, store_request, store_changes, primary_notice>;
 
 } // namespace citronfall
--- /dev/null
+++ b/include/citronfall/store_changes.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "citronfall/immutable.h"
+#include "citronfall/store_item.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace citronfall {
+
+/// Fields of a list of changes.
+struct store_changes_fields {
+    std::uint8_t range = 0; ///< Index of the mirrored range.
+    std::vector<store_item> items;
+
+    friend auto operator<=>(const store_changes_fields&, const store_changes_fields&) = default;
+};
+
+/// Items of the store, deletions included, for a peer that missed them.
+using store_changes = immutable<store_changes_fields>;
+
+} // namespace citronfall
--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -47,6 +47,21 @@
 struct share_ack;
 struct share_ackBuilder;
 
+struct store_digest;
+struct store_digestBuilder;
+
+struct store_request;
+struct store_requestBuilder;
+
+struct store_item;
+struct store_itemBuilder;
+
+struct store_changes;
+struct store_changesBuilder;
+
+struct primary_notice;
+struct primary_noticeBuilder;
+
 struct peer_message;
 struct peer_messageBuilder;
 
@@ -60,11 +75,15 @@
   share_request = 6,
   share_grant = 7,
   share_ack = 8,
+  store_digest = 9,
+  store_request = 10,
+  store_changes = 11,
+  primary_notice = 12,
   MIN = NONE,
-  MAX = share_ack
+  MAX = primary_notice
 };
 
-inline const body (&EnumValuesbody())[9] {
+inline const body (&EnumValuesbody())[13] {
   static const body values[] = {
     body::NONE,
     body::hello,
@@ -74,13 +93,17 @@
     body::suspicion_reply,
     body::share_request,
     body::share_grant,
-    body::share_ack
+    body::share_ack,
+    body::store_digest,
+    body::store_request,
+    body::store_changes,
+    body::primary_notice
   };
   return values;
 }
 
 inline const char * const *EnumNamesbody() {
-  static const char * const names[10] = {
+  static const char * const names[14] = {
     "NONE",
     "hello",
     "digest",
@@ -90,13 +113,17 @@
     "share_request",
     "share_grant",
     "share_ack",
+    "store_digest",
+    "store_request",
+    "store_changes",
+    "primary_notice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamebody(body e) {
-  if (flatbuffers::IsOutRange(e, body::NONE, body::share_ack)) return "";
+  if (flatbuffers::IsOutRange(e, body::NONE, body::primary_notice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesbody()[index];
 }
@@ -137,6 +164,22 @@
   static const body enum_value = body::share_ack;
 };
 
+template<> struct bodyTraits<citronfall::wire::store_digest> {
+  static const body enum_value = body::store_digest;
+};
+
+template<> struct bodyTraits<citronfall::wire::store_request> {
+  static const body enum_value = body::store_request;
+};
+
+template<> struct bodyTraits<citronfall::wire::store_changes> {
+  static const body enum_value = body::store_changes;
+};
+
+template<> struct bodyTraits<citronfall::wire::primary_notice> {
+  static const body enum_value = body::primary_notice;
+};
+
 bool Verifybody(flatbuffers::Verifier &verifier, const void *obj, body type);
 bool VerifybodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<body> *types);
 
@@ -923,6 +966,362 @@
   return builder_.Finish();
 }
 
+struct store_digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef store_digestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CHANGED_AT = 4,
+    VT_STORE_LIVE = 6
+  };
+  const flatbuffers::Vector<uint64_t> *changed_at() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CHANGED_AT);
+  }
+  bool store_live() const {
+    return GetField<uint8_t>(VT_STORE_LIVE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CHANGED_AT) &&
+           verifier.VerifyVector(changed_at()) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_LIVE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct store_digestBuilder {
+  typedef store_digest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_changed_at(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> changed_at) {
+    fbb_.AddOffset(store_digest::VT_CHANGED_AT, changed_at);
+  }
+  void add_store_live(bool store_live) {
+    fbb_.AddElement<uint8_t>(store_digest::VT_STORE_LIVE, static_cast<uint8_t>(store_live), 0);
+  }
+  explicit store_digestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<store_digest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<store_digest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<store_digest> Createstore_digest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> changed_at = 0,
+    bool store_live = false) {
+  store_digestBuilder builder_(_fbb);
+  builder_.add_changed_at(changed_at);
+  builder_.add_store_live(store_live);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<store_digest> Createstore_digestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *changed_at = nullptr,
+    bool store_live = false) {
+  auto changed_at__ = changed_at ? _fbb.CreateVector<uint64_t>(*changed_at) : 0;
+  return citronfall::wire::Createstore_digest(
+      _fbb,
+      changed_at__,
+      store_live);
+}
+
+struct store_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef store_requestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RANGE = 4,
+    VT_AFTER = 6
+  };
+  uint8_t range() const {
+    return GetField<uint8_t>(VT_RANGE, 0);
+  }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_RANGE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct store_requestBuilder {
+  typedef store_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_range(uint8_t range) {
+    fbb_.AddElement<uint8_t>(store_request::VT_RANGE, range, 0);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(store_request::VT_AFTER, after, 0);
+  }
+  explicit store_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<store_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<store_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<store_request> Createstore_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t range = 0,
+    uint64_t after = 0) {
+  store_requestBuilder builder_(_fbb);
+  builder_.add_after(after);
+  builder_.add_range(range);
+  return builder_.Finish();
+}
+
+struct store_item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef store_itemBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_REVISION = 8,
+    VT_LEASE = 10,
+    VT_DELETED = 12
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t lease() const {
+    return GetField<uint64_t>(VT_LEASE, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct store_itemBuilder {
+  typedef store_item Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(store_item::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(store_item::VT_VALUE, value);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(store_item::VT_REVISION, revision, 0);
+  }
+  void add_lease(uint64_t lease) {
+    fbb_.AddElement<uint64_t>(store_item::VT_LEASE, lease, 0);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(store_item::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  explicit store_itemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<store_item> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<store_item>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<store_item> Createstore_item(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t revision = 0,
+    uint64_t lease = 0,
+    bool deleted = false) {
+  store_itemBuilder builder_(_fbb);
+  builder_.add_lease(lease);
+  builder_.add_revision(revision);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<store_item> Createstore_itemDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t revision = 0,
+    uint64_t lease = 0,
+    bool deleted = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return citronfall::wire::Createstore_item(
+      _fbb,
+      key__,
+      value__,
+      revision,
+      lease,
+      deleted);
+}
+
+struct store_changes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef store_changesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RANGE = 4,
+    VT_ITEMS = 6
+  };
+  uint8_t range() const {
+    return GetField<uint8_t>(VT_RANGE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::store_item>> *items() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::store_item>> *>(VT_ITEMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_RANGE, 1) &&
+           VerifyOffset(verifier, VT_ITEMS) &&
+           verifier.VerifyVector(items()) &&
+           verifier.VerifyVectorOfTables(items()) &&
+           verifier.EndTable();
+  }
+};
+
+struct store_changesBuilder {
+  typedef store_changes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_range(uint8_t range) {
+    fbb_.AddElement<uint8_t>(store_changes::VT_RANGE, range, 0);
+  }
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::store_item>>> items) {
+    fbb_.AddOffset(store_changes::VT_ITEMS, items);
+  }
+  explicit store_changesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<store_changes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<store_changes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<store_changes> Createstore_changes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t range = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::store_item>>> items = 0) {
+  store_changesBuilder builder_(_fbb);
+  builder_.add_items(items);
+  builder_.add_range(range);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<store_changes> Createstore_changesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t range = 0,
+    const std::vector<flatbuffers::Offset<citronfall::wire::store_item>> *items = nullptr) {
+  auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::store_item>>(*items) : 0;
+  return citronfall::wire::Createstore_changes(
+      _fbb,
+      range,
+      items__);
+}
+
+struct primary_notice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef primary_noticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_MEMBER = 6,
+    VT_TERM = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *member() const {
+    return GetPointer<const flatbuffers::String *>(VT_MEMBER);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_MEMBER) &&
+           verifier.VerifyString(member()) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct primary_noticeBuilder {
+  typedef primary_notice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(primary_notice::VT_SERVICE, service);
+  }
+  void add_member(flatbuffers::Offset<flatbuffers::String> member) {
+    fbb_.AddOffset(primary_notice::VT_MEMBER, member);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(primary_notice::VT_TERM, term, 0);
+  }
+  explicit primary_noticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<primary_notice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<primary_notice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<primary_notice> Createprimary_notice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> member = 0,
+    uint64_t term = 0) {
+  primary_noticeBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_member(member);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<primary_notice> Createprimary_noticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *member = nullptr,
+    uint64_t term = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto member__ = member ? _fbb.CreateString(member) : 0;
+  return citronfall::wire::Createprimary_notice(
+      _fbb,
+      service__,
+      member__,
+      term);
+}
+
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_messageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -960,6 +1359,18 @@
   const citronfall::wire::share_ack *body_as_share_ack() const {
     return body_type() == citronfall::wire::body::share_ack ? static_cast<const citronfall::wire::share_ack *>(body()) : nullptr;
   }
+  const citronfall::wire::store_digest *body_as_store_digest() const {
+    return body_type() == citronfall::wire::body::store_digest ? static_cast<const citronfall::wire::store_digest *>(body()) : nullptr;
+  }
+  const citronfall::wire::store_request *body_as_store_request() const {
+    return body_type() == citronfall::wire::body::store_request ? static_cast<const citronfall::wire::store_request *>(body()) : nullptr;
+  }
+  const citronfall::wire::store_changes *body_as_store_changes() const {
+    return body_type() == citronfall::wire::body::store_changes ? static_cast<const citronfall::wire::store_changes *>(body()) : nullptr;
+  }
+  const citronfall::wire::primary_notice *body_as_primary_notice() const {
+    return body_type() == citronfall::wire::body::primary_notice ? static_cast<const citronfall::wire::primary_notice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1001,6 +1412,22 @@
   return body_as_share_ack();
 }
 
+template<> inline const citronfall::wire::store_digest *peer_message::body_as<citronfall::wire::store_digest>() const {
+  return body_as_store_digest();
+}
+
+template<> inline const citronfall::wire::store_request *peer_message::body_as<citronfall::wire::store_request>() const {
+  return body_as_store_request();
+}
+
+template<> inline const citronfall::wire::store_changes *peer_message::body_as<citronfall::wire::store_changes>() const {
+  return body_as_store_changes();
+}
+
+template<> inline const citronfall::wire::primary_notice *peer_message::body_as<citronfall::wire::primary_notice>() const {
+  return body_as_primary_notice();
+}
+
 struct peer_messageBuilder {
   typedef peer_message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1069,6 +1496,22 @@
       auto ptr = reinterpret_cast<const citronfall::wire::share_ack *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case body::store_digest: {
+      auto ptr = reinterpret_cast<const citronfall::wire::store_digest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case body::store_request: {
+      auto ptr = reinterpret_cast<const citronfall::wire::store_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case body::store_changes: {
+      auto ptr = reinterpret_cast<const citronfall::wire::store_changes *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case body::primary_notice: {
+      auto ptr = reinterpret_cast<const citronfall::wire::primary_notice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/src/caller_session/caller_event.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "citronfall/immutable.h"
+#include "statement/statement.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace citronfall {
+
+/// Number of a caller's connection within one daemon process; never reused.
+using session_number = std::uint64_t;
+
+/// Fields of a session start.
+struct caller_started_fields {
+    session_number session = 0;
+    std::string database;
+    std::string caller; ///< Who connects; for logs only.
+
+    friend auto operator<=>(const caller_started_fields&, const caller_started_fields&) = default;
+};
+
+/// A caller opened a session on a database.
+using caller_started = immutable<caller_started_fields>;
+
+/// Fields of a caller's statement.
+struct caller_statement_fields {
+    session_number session = 0;
+    std::string request_id;
+    statement query;
+
+    friend auto operator<=>(const caller_statement_fields&, const caller_statement_fields&) = default;
+};
+
+/// A caller sent a statement.
+using caller_statement = immutable<caller_statement_fields>;
+
+/// Fields of a malformed message.
+struct caller_malformed_fields {
+    session_number session = 0;
+    std::string request_id; ///< Empty if it could not be read.
+    std::string reason;
+    bool fatal =
+        false; ///< The position in the byte stream is lost, or no session was started: the connection must end.
+
+    friend auto operator<=>(const caller_malformed_fields&, const caller_malformed_fields&) = default;
+};
+
+/// A caller sent something that is no message.
+using caller_malformed = immutable<caller_malformed_fields>;
+
+/// Fields of a session's end.
+struct caller_left_fields {
+    session_number session = 0;
+    bool orderly = false; ///< The caller ended the session by a message.
+
+    friend auto operator<=>(const caller_left_fields&, const caller_left_fields&) = default;
+};
+
+/// A caller's connection ended.
+using caller_left = immutable<caller_left_fields>;
+
+/// Messages of the caller thread to the decision thread.
+using caller_event = std::variant<caller_started, caller_statement, caller_malformed, caller_left>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/caller_session/caller_session.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "caller_session/caller_event.h"
+#include "caller_session/caller_reply.h"
+#include "citronfall/chart.h"
+#include "citronfall/ids.h"
+#include "citronfall/instant.h"
+#include "deployment/route.h"
+#include "dispatch/statement_task.h"
+#include "lead/read_floor.h"
+#include "pool/session_image.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace citronfall {
+
+/// State of one caller's session (chart `session`). Owned by session_table.
+struct caller_session {
+    session_number number = 0;
+    std::string database;
+    state_id state{};
+    session_values values;
+    std::map<std::string, prepared_shape> prepared;
+    std::optional<read_floor> own_commits;  ///< Newest commit of the session.
+    std::optional<route> transaction_route; ///< In force when the transaction began.
+    bool read_only = false;                 ///< The transaction only reads.
+    bool wrote = false;                     ///< The transaction wrote.
+    bool leads = false;                     ///< The connection's transaction was accepted by the leader.
+    connection_number connection = 0;       ///< Of the open transaction.
+    task_number task = 0;                   ///< Statement in progress.
+    instant task_started{};
+    std::optional<caller_statement> current;      ///< Statement that is being answered.
+    std::optional<statement_reply_fields> answer; ///< Sent once the chart has moved on.
+    std::deque<caller_statement> waiting;         ///< Sent before the answer to an earlier one.
+    instant last_used{};
+    bool close_when_idle = false; ///< The daemon is shutting down.
+};
+
+} // namespace citronfall
--- /dev/null
+++ b/src/caller_session/session_table.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "caller_session/caller_event.h"
+#include "caller_session/caller_reply.h"
+#include "caller_session/caller_session.h"
+#include "citronfall/chart_program.h"
+#include "citronfall/instant.h"
+#include "citronfall/result.h"
+#include "dispatch/statement_dispatcher.h"
+#include "dispatch/statement_task.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronfall {
+
+/// Hooks of a session table; all are called on the decision thread.
+struct session_table_hooks {
+    std::function<void(const caller_reply&)> reply;
+    std::function<const route*(const std::string& database)> find_route; ///< Null: no route has the database.
+    std::function<bool()> configured;                                    ///< A configuration is known.
+    std::function<task_number(const task_request&, instant)> submit;
+    std::function<void(task_number, instant)> cancel;
+    std::function<void(connection_number, instant)> release;                        ///< Rolls back what is open.
+    std::function<void(const route&, const task_outcome&, duration took)> answered; ///< For metrics.
+    std::function<void(const std::string&, const std::string&)> log;                ///< Event and its fields.
+};
+
+/// All sessions of callers: what they set and prepared, their transactions and the order of their answers (chart
+/// `session`).
+///
+/// A transaction takes a connection with its first statement. What a session sets or prepares is kept here and put on
+/// whichever connection runs its next statement. Not thread-safe: owned by the decision thread.
+class session_table {
+public:
+    /// Error (bad_request): the chart does not fit.
+    [[nodiscard]] static result<std::unique_ptr<session_table>> make(session_table_hooks hooks);
+
+    /// An event of the caller thread.
+    void handle(const caller_event& message, instant now);
+
+    /// A statement of a session ended.
+    void finished(const task_request& request, const task_outcome& outcome, instant now);
+
+    /// The connection of an open transaction ended.
+    void connection_lost(connection_number connection, instant now);
+
+    /// Ends transactions that were idle for longer than `idle_limit`; 0: none.
+    void tick(duration idle_limit, instant now);
+
+    /// Closes a session as soon as it is outside a transaction and owes no answer.
+    void close_when_idle(session_number session, instant now);
+
+    /// Closes a session whatever its state; an open transaction is rolled back.
+    void close_now(session_number session, instant now);
+
+    /// Numbers of all sessions.
+    [[nodiscard]] std::vector<session_number> sessions() const;
+
+    /// Whether a session is inside a transaction or owes an answer.
+    [[nodiscard]] bool busy(session_number session) const;
+
+    /// Whether a statement of the session is not answered yet.
+    [[nodiscard]] bool owes_answer(session_number session) const;
+
+    /// Number of sessions.
+    [[nodiscard]] std::size_t size() const { return sessions_.size(); }
+
+private:
+    enum class event : std::uint8_t {
+        begin,
+        run,
+        roll_back,
+        answered_open,
+        answered_ended,
+        answered_failed,
+        connection_lost,
+        idle_too_long,
+        left,
+    };
+    struct context {
+        session_table& table;
+        caller_session& session;
+        const task_outcome* outcome;
+        instant now;
+    };
+
+    explicit session_table(session_table_hooks hooks) : hooks_(std::move(hooks)) {}
+
+    result<done> bind();
+    static chart_bindings<context> bindings();
+    void fire(caller_session& session, event what, const task_outcome* outcome, instant now);
+    void start(const caller_started& started, instant now);
+    void receive(const caller_statement& received, instant now);
+    void refuse_malformed(const caller_malformed& malformed, instant now);
+    void leave(session_number number, instant now);
+    void process(caller_session& session, const caller_statement& received, instant now);
+    void process_local(caller_session& session, const statement& query);
+    void process_next(session_number number, instant now);
+    [[nodiscard]] std::optional<error> check_run(const caller_session& session, const statement& query) const;
+    void run(caller_session& session, task_kind kind, instant now);
+    void pass_answer(caller_session& session, const task_outcome& outcome, instant now);
+    void note_commit(caller_session& session, const task_outcome& outcome);
+    void answer(caller_session& session, std::optional<error> failure);
+    void send_answer(caller_session& session, instant now);
+    void close(session_number number, const std::optional<error>& failure, instant now);
+    [[nodiscard]] bool idle(const caller_session& session) const { return session.state == program_->initial(); }
+
+    session_table_hooks hooks_;
+    std::optional<chart_program<event, context>> program_;
+    std::vector<transaction_state> visible_states_; ///< By state of the chart.
+    std::map<session_number, caller_session> sessions_;
+    std::map<connection_number, session_number> pinned_;
+};
+
+} // namespace citronfall
--- a/src/cmd/citronfallctl.cc
+++ b/src/cmd/citronfallctl.cc
@@ -1,6 +1,6 @@
 #include "ctl/command_table.h"
 #include "http/http_client.h"
-#include "platform/http_platform.h"
+#include "kv_service/http_platform.h"
 
 #include <chrono>
 #include <cstdlib>
--- a/src/cmd/citronfalld.cc
+++ b/src/cmd/citronfalld.cc
@@ -1,5 +1,6 @@
 #include "citronfall/daemon_settings.h"
 #include "daemon/daemon.h"
+#include "platform/platform.h"
 #include "settings/settings_codec.h"
 
 #include <csignal>
@@ -24,8 +25,9 @@
 constexpr int exit_bad_settings = 2;
 
 struct command_line {
-    std::string settings_file;
+    std::string settings_file; ///< Empty on the platform, which tells the path itself.
     bool check_only = false;
+    bool on_platform = false;
 };
 
 std::optional<command_line> parse(int argc, char** argv)
@@ -33,14 +35,20 @@
     TCLAP::CmdLine parser("citronfalld: database proxy with session consistency", ' ', "0.1");
     parser.setExceptionHandling(false);
     TCLAP::SwitchArg check("", "check", "check the settings file and end", parser);
-    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file (JSON)", true, "", "FILE", parser);
+    TCLAP::SwitchArg platform("", "platform", "run on the users' platform, which names the settings file", parser);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file (JSON)", false, "", "FILE", parser);
     try {
         parser.parse(argc, argv);
     } catch (const TCLAP::ArgException& problem) {
         std::cerr << "citronfalld: " << problem.error() << " " << problem.argId() << '\n';
         return std::nullopt;
     }
-    return command_line{.settings_file = file.getValue(), .check_only = check.getValue()};
+    if (file.getValue().empty() && !platform.getValue()) {
+        std::cerr << "citronfalld: a settings file or --platform is required\n";
+        return std::nullopt;
+    }
+    return command_line{
+        .settings_file = file.getValue(), .check_only = check.getValue(), .on_platform = platform.getValue()};
 }
 
 std::optional<citronfall::daemon_settings> read_settings(const std::string& name)
@@ -80,6 +88,22 @@
     _exit(exit_failed);
 }
 
+/// Starts the drain on the signal to end and reads the settings again on the hang-up signal.
+void pass_signals(citronfall::gateway& running)
+{
+    sigset_t signals = termination_signals();
+    sigaddset(&signals, SIGHUP);
+    while (true) {
+        int received = 0;
+        sigwait(&signals, &received);
+        if (received == SIGHUP) {
+            running.reload();
+        } else {
+            running.terminate();
+        }
+    }
+}
+
 void configure_log()
 {
     el::Configurations configuration;
@@ -89,6 +113,39 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+int run_gateway(const command_line& arguments)
+{
+    auto path = arguments.settings_file.empty() ? citronfall::platform::settings_path()
+                                                : citronfall::result<std::string>(arguments.settings_file);
+    if (!citronfall::ok(path)) {
+        std::cerr << "citronfalld: " << citronfall::error_of(path)->detail << '\n';
+        return exit_bad_settings;
+    }
+    const auto settings = citronfall::platform::read_settings(citronfall::value_of(path));
+    if (!citronfall::ok(settings)) {
+        std::cerr << "citronfalld: " << citronfall::error_of(settings)->detail << '\n';
+        return exit_bad_settings;
+    }
+    if (arguments.check_only) {
+        std::cout << citronfall::value_of(path) << ": settings are valid\n";
+        return 0;
+    }
+    configure_log();
+    sigset_t signals = termination_signals();
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    auto made = citronfall::gateway::make(citronfall::value_of(settings),
+                                          citronfall::platform::make_platform(citronfall::value_of(path)));
+    if (!citronfall::ok(made)) {
+        std::cerr << "citronfalld: " << citronfall::error_of(made)->detail << '\n';
+        return exit_failed;
+    }
+    const auto running = citronfall::take(std::move(made));
+    std::thread(pass_signals, std::ref(*running)).detach();
+    running->run();
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -98,6 +155,9 @@
         if (!arguments) {
             return exit_bad_settings;
         }
+        if (arguments->on_platform) {
+            return run_gateway(*arguments);
+        }
         const auto settings = read_settings(arguments->settings_file);
         if (!settings) {
             return exit_bad_settings;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -5,10 +5,10 @@
 #include "document_codec/document_codec.h"
 #include "frontend/http_front_end.h"
 #include "frontend/responder.h"
+#include "kv_service/group_record_codec.h"
+#include "kv_service/http_platform.h"
+#include "kv_service/share_ledger_codec.h"
 #include "peer/peer_service.h"
-#include "platform/group_record_codec.h"
-#include "platform/http_platform.h"
-#include "platform/share_ledger_codec.h"
 #include "upstream/upstream_service.h"
 
 #include <algorithm>
--- /dev/null
+++ b/src/deployment/deployment.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "citronfall/immutable.h"
+#include "citronfall/instant.h"
+#include "deployment/route.h"
+#include "deployment/service_policy.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace citronfall {
+
+/// Fields of the operators' configuration.
+struct deployment_fields {
+    std::uint64_t version = 0;
+    std::map<std::string, route> routes; ///< By database.
+    std::map<std::string, service_policy> services;
+    duration idle_transaction_limit{}; ///< A transaction without a statement for this long may be ended; 0: never.
+
+    friend auto operator<=>(const deployment_fields&, const deployment_fields&) = default;
+};
+
+/// One version of the operators' configuration, whole.
+using deployment = immutable<deployment_fields>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/deployment/member_entry.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "citronfall/immutable.h"
+#include "citronfall/instant.h"
+
+#include <cstdint>
+#include <string>
+
+namespace citronfall {
+
+/// Fields of a member's registration.
+struct member_entry_fields {
+    std::string id;
+    std::string service;
+    std::string address; ///< "ip:port"
+    std::string data_center;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    bool reports_primary = false;   ///< The member's own view, up to a heartbeat old.
+    duration warm_up_left{};        ///< For how long the member stays slow after its start.
+    std::int64_t started_at_ms = 0; ///< Unix time of this start; a member may start again under the same id.
+
+    friend auto operator<=>(const member_entry_fields&, const member_entry_fields&) = default;
+};
+
+/// What a member registered about itself.
+using member_entry = immutable<member_entry_fields>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/directory/directory.cc
@@ -0,0 +1,142 @@
+#include "directory/directory.h"
+
+#include <utility>
+
+namespace citronfall {
+
+void directory::apply(const store_item& item, const member_departure& departure)
+{
+    const auto rest_of = [&item](const std::string& prefix) -> std::optional<std::string> {
+        if (!item->key.starts_with(prefix)) {
+            return std::nullopt;
+        }
+        return item->key.substr(prefix.size());
+    };
+    if (item->key == options_.keys.configuration) {
+        apply_configuration(item);
+    } else if (const auto id = rest_of(options_.keys.members)) {
+        apply_member(*id, item, departure);
+    } else if (const auto name = rest_of(options_.keys.daemons)) {
+        apply_daemon(*name, item);
+    } else if (const auto service = rest_of(options_.keys.duties)) {
+        apply_duty(*service, item);
+    }
+}
+
+void directory::apply_configuration(const store_item& item)
+{
+    if (item->deleted) {
+        return;
+    }
+    auto read = options_.read_deployment(item->value);
+    if (!ok(read)) {
+        note_unreadable(error_of(read));
+        return;
+    }
+    const deployment& newer = value_of(read);
+    if (configuration_ && newer->version <= (*configuration_)->version) {
+        return;
+    }
+    options_.log("configuration_in_force",
+                 "version=" + std::to_string(newer->version) +
+                     " before=" + std::to_string(configuration_ ? (*configuration_)->version : 0) +
+                     " routes=" + std::to_string(newer->routes.size()) + " revision=" + std::to_string(item->revision));
+    configuration_ = newer;
+}
+
+void directory::apply_member(const std::string& id, const store_item& item, const member_departure& departure)
+{
+    if (item->deleted) {
+        options_.log("member_gone", "member=" + id + " revision=" + std::to_string(item->revision));
+        if (members_.contains(id)) {
+            leaving_[id] = departure;
+        }
+        return;
+    }
+    leaving_.erase(id);
+    auto read = options_.read_member(id, item->value);
+    if (!ok(read)) {
+        note_unreadable(error_of(read));
+        members_.erase(id);
+        return;
+    }
+    const member_entry& entry = value_of(read);
+    options_.log("member_listed", "member=" + id + " service=" + entry->service + " address=" + entry->address +
+                                      " draining=" + (entry->draining ? "yes" : "no") +
+                                      " primary=" + (entry->reports_primary ? "yes" : "no") +
+                                      " revision=" + std::to_string(item->revision));
+    members_[id] = entry;
+}
+
+void directory::apply_daemon(const std::string& name, const store_item& item)
+{
+    if (item->deleted) {
+        options_.log("daemon_gone", "daemon=" + name + " revision=" + std::to_string(item->revision));
+        daemons_.erase(name);
+        return;
+    }
+    auto read = options_.read_daemon(name, item->value);
+    if (!ok(read)) {
+        note_unreadable(error_of(read));
+        return;
+    }
+    options_.log("daemon_listed", "daemon=" + name + " address=" + value_of(read)->peer_address +
+                                      " revision=" + std::to_string(item->revision));
+    daemons_[name] = take(std::move(read));
+}
+
+void directory::apply_duty(const std::string& service, const store_item& item)
+{
+    if (item->deleted) {
+        options_.log("duty_free", "service=" + service + " revision=" + std::to_string(item->revision));
+        duties_.erase(service);
+        return;
+    }
+    auto read = options_.read_duty(service, item->revision, item->value);
+    if (!ok(read)) {
+        note_unreadable(error_of(read));
+        return;
+    }
+    options_.log("duty_held", "service=" + service + " holder=" + value_of(read)->holder +
+                                  " fence=" + std::to_string(item->revision));
+    duties_[service] = take(std::move(read));
+}
+
+void directory::note_unreadable(const error& problem)
+{
+    ++unreadable_total_;
+    options_.log("entry_unreadable", "reason=\"" + problem->detail + "\"");
+}
+
+bool directory::expire(instant now)
+{
+    bool changed = false;
+    for (auto each = leaving_.begin(); each != leaving_.end();) {
+        member_entry& entry = members_.at(each->first);
+        if (now >= each->second.drain_at && !entry->draining) {
+            entry = with(entry, [](member_entry_fields& fields) { fields.draining = true; });
+            options_.log("member_treated_as_draining", "member=" + each->first);
+            changed = true;
+        }
+        if (now < each->second.remove_at) {
+            ++each;
+            continue;
+        }
+        options_.log("member_removed", "member=" + each->first);
+        members_.erase(each->first);
+        each = leaving_.erase(each);
+        changed = true;
+    }
+    return changed;
+}
+
+const route* directory::find_route(const std::string& database) const
+{
+    if (!configuration_) {
+        return nullptr;
+    }
+    const auto found = (*configuration_)->routes.find(database);
+    return found == (*configuration_)->routes.end() ? nullptr : &found->second;
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/directory/directory.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "citronfall/instant.h"
+#include "citronfall/result.h"
+#include "citronfall/store_item.h"
+#include "deployment/deployment.h"
+#include "deployment/member_entry.h"
+#include "presence/daemon_entry.h"
+#include "presence/duty_entry.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace citronfall {
+
+/// Keys and prefixes of the store.
+struct directory_keys {
+    std::string configuration; ///< Whole key.
+    std::string members;       ///< Prefix; the id of a member follows.
+    std::string daemons;       ///< Prefix; the name of a daemon follows.
+    std::string duties;        ///< Prefix; the name of a service follows.
+};
+
+/// Settings and hooks of a directory. The hooks are called on the decision thread.
+struct directory_options {
+    directory_keys keys;
+    std::function<result<deployment>(std::string_view value)> read_deployment;
+    std::function<result<member_entry>(std::string_view id, std::string_view value)> read_member;
+    std::function<result<daemon_entry>(std::string_view name, std::string_view value)> read_daemon;
+    std::function<result<duty_entry>(std::string_view service, std::uint64_t fence, std::string_view value)> read_duty;
+    std::function<void(const std::string&, const std::string&)> log; ///< Event and its fields.
+};
+
+/// When a member whose entry was deleted goes. It may live on and register again: its entry also ends when it is cut
+/// off from the store or the store was away.
+struct member_departure {
+    instant drain_at{};  ///< From then on it is treated as draining.
+    instant remove_at{}; ///< From then on it is not listed.
+};
+
+/// What the store's items mean: the configuration in force, the members, the daemons and the duties.
+///
+/// The configuration only moves to higher versions. Entries that cannot be read name nothing and are logged. Not
+/// thread-safe: owned by the decision thread.
+class directory {
+public:
+    explicit directory(directory_options options) : options_(std::move(options)) {}
+
+    /// Takes over one changed item. If it is the deletion of a member, `departure` tells when the member goes.
+    void apply(const store_item& item, const member_departure& departure);
+
+    /// Moves members on whose time has come. Returns whether any changed.
+    bool expire(instant now);
+
+    /// The configuration in force; nothing before the first.
+    [[nodiscard]] const std::optional<deployment>& configuration() const { return configuration_; }
+
+    /// Members by id.
+    [[nodiscard]] const std::map<std::string, member_entry>& members() const { return members_; }
+
+    /// Daemons by name.
+    [[nodiscard]] const std::map<std::string, daemon_entry>& daemons() const { return daemons_; }
+
+    /// Duties by service.
+    [[nodiscard]] const std::map<std::string, duty_entry>& duties() const { return duties_; }
+
+    /// The route of a database in the configuration in force, if there is one.
+    [[nodiscard]] const route* find_route(const std::string& database) const;
+
+    /// Entries that could not be read so far.
+    [[nodiscard]] std::uint64_t unreadable_total() const { return unreadable_total_; }
+
+private:
+    void apply_configuration(const store_item& item);
+    void apply_member(const std::string& id, const store_item& item, const member_departure& departure);
+    void apply_daemon(const std::string& name, const store_item& item);
+    void apply_duty(const std::string& service, const store_item& item);
+    void note_unreadable(const error& problem);
+
+    directory_options options_;
+    std::optional<deployment> configuration_;
+    std::map<std::string, member_entry> members_;
+    std::map<std::string, member_departure> leaving_; ///< Deleted members that are still listed.
+    std::map<std::string, daemon_entry> daemons_;
+    std::map<std::string, duty_entry> duties_;
+    std::uint64_t unreadable_total_ = 0;
+};
+
+} // namespace citronfall
--- /dev/null
+++ b/src/dispatch/statement_attempt.cc
@@ -0,0 +1,296 @@
+#include "citronfall/answer_table.h"
+#include "dispatch/connection_setup.h"
+#include "dispatch/statement_dispatcher.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Pause before a statement that a member refused for load is offered again, where no other member can take it.
+constexpr duration busy_pause = std::chrono::milliseconds(15);
+
+/// Whether the member says that the statement did not run.
+bool says_not_run(const member_reply& reply)
+{
+    if (!reply->failure) {
+        return false;
+    }
+    const error_kind kind = (*reply->failure)->kind;
+    return kind == error_kind::overloaded || kind == error_kind::replica_behind || kind == error_kind::not_primary ||
+           kind == error_kind::unknown_prepared_name;
+}
+
+std::string floor_text(const std::optional<read_floor>& floor)
+{
+    if (!floor) {
+        return "none";
+    }
+    const log_position& position = (*floor)->position;
+    return std::to_string(position->term) + "." + std::to_string(position->index);
+}
+
+} // namespace
+
+bool statement_dispatcher::needs_setup(const statement_task& task) const
+{
+    const pooled_connection* connection = pool_.find(task.connection);
+    return connection != nullptr && !setup_statements(*connection, task.request->values, task.request->shape).empty();
+}
+
+/// A lone read on the leader runs inside a transaction of its own, because a member that lost the lead still answers
+/// reads outside one.
+bool statement_dispatcher::needs_begin(const statement_task& task)
+{
+    switch (task.request->kind) {
+    case task_kind::opens_transaction:
+    case task_kind::opens_read_transaction:
+        return true;
+    case task_kind::single:
+        return task.on_leader && !task.request->writes;
+    case task_kind::in_transaction:
+        break;
+    }
+    return false;
+}
+
+void statement_dispatcher::send_setup(statement_task& task, instant now)
+{
+    pooled_connection& connection = *pool_.find(task.connection);
+    const auto statements = setup_statements(connection, task.request->values, task.request->shape);
+    apply_setup(connection, task.request->values, task.request->shape);
+    task.setup_left = statements.size();
+    pool_.send_own(
+        task.connection, statements,
+        [this, number = task.number](const exchange_outcome& outcome, instant at) {
+            on_setup_answer(number, outcome, at);
+        },
+        now);
+}
+
+void statement_dispatcher::on_setup_answer(task_number number, const exchange_outcome& outcome, instant now)
+{
+    const auto found = tasks_.find(number);
+    if (found == tasks_.end()) {
+        return;
+    }
+    statement_task& task = found->second;
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply == nullptr) {
+        task.connection = 0;
+        fire(task, event::lost, nullptr, now);
+    } else if ((*reply)->failure) {
+        hooks_.log("connection_setup_refused", "id=" + task.request->request_id + " member=" + task.member +
+                                                   " error=" + (*(*reply)->failure)->detail);
+        fire(task, event::refused, reply, now);
+    } else if (--task.setup_left == 0) {
+        fire(task, event::prepared, nullptr, now);
+    }
+}
+
+void statement_dispatcher::send_begin(statement_task& task, instant now)
+{
+    task.sent_at = now;
+    const member_statement begin =
+        task.on_leader ? member_statement(begin_leading{}) : begin_reading{.after = (*task.floor)->position};
+    pool_.send_own(task.connection, {begin}, answer_hook(task.number, event::begun), now);
+}
+
+member_statement statement_dispatcher::statement_for_member(const statement_task& task) const
+{
+    const statement& query = task.request->query;
+    const bool lone_read = task.request->kind == task_kind::single && !task.on_leader;
+    const auto after = lone_read && task.floor ? std::optional((*task.floor)->position) : std::nullopt;
+    if (query->verb == statement_verb::execute) {
+        const pooled_connection* connection = pool_.find(task.connection);
+        return execute_prepared{
+            {.name = connection->prepared.at(*task.request->shape), .argument = query->argument, .after = after}};
+    }
+    return forwarded_statement{{.text = query->text, .after = after}};
+}
+
+void statement_dispatcher::send_statement(statement_task& task, instant now)
+{
+    task.sent_at = now;
+    task.sent_statement = true;
+    hooks_.log("statement_sent",
+               "id=" + task.request->request_id + " session=" + std::to_string(task.request->session) +
+                   " member=" + task.member + " connection=" + std::to_string(task.connection) +
+                   " kind=" + task_kind_name(task.request->kind) + (task.on_leader ? " leader=yes" : " leader=no") +
+                   " after=" + floor_text(task.floor) + " attempt=" + std::to_string(task.attempts) +
+                   " waited_us=" + std::to_string((now - task.arrived).count()));
+    pool_.send(task.connection,
+               member_query{{.request_id = task.request->request_id, .body = statement_for_member(task)}},
+               exchange{.sent_at = now, .measured = true, .ended = answer_hook(task.number, event::answered)});
+}
+
+exchange_hook statement_dispatcher::answer_hook(task_number number, event success)
+{
+    return [this, number, success](const exchange_outcome& outcome, instant now) {
+        on_answer(number, success, outcome, now);
+    };
+}
+
+void statement_dispatcher::on_answer(task_number number, event success, const exchange_outcome& outcome, instant now)
+{
+    const auto found = tasks_.find(number);
+    if (found == tasks_.end()) {
+        return;
+    }
+    statement_task& task = found->second;
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply == nullptr) {
+        task.connection = 0;
+        task.last_refusal =
+            error{{.kind = error_kind::connect_failed, .detail = "connection to member " + task.member + " ended"}};
+        fire(task, event::lost, nullptr, now);
+        return;
+    }
+    learn(task, *reply, success == event::begun, now);
+    const bool begin_failed = success == event::begun && (*reply)->failure;
+    fire(task, says_not_run(*reply) || begin_failed ? event::refused : success, reply, now);
+}
+
+/// Draws conclusions about the lead and the member's log.
+void statement_dispatcher::learn(statement_task& task, const member_reply& reply, bool begin, instant now)
+{
+    const std::string& service = task.request->policy->service;
+    if (reply->failure) {
+        if ((*reply->failure)->kind == error_kind::not_primary) {
+            hooks_.lead_refused(service, task.member, now);
+        } else if ((*reply->failure)->kind == error_kind::replica_behind && task.floor) {
+            hooks_.service(service).progress[task.member].refused(*task.floor, now);
+        }
+        return;
+    }
+    const bool commit = task.request->query->verb == statement_verb::commit && !begin;
+    const bool proves = task.on_leader && (!commit || task.request->wrote_before);
+    if (proves && reply->position) {
+        hooks_.lead_proved(service, task.member, *reply->position, task.sent_at, now);
+    }
+}
+
+void statement_dispatcher::requeue(statement_task& task, const member_reply* reply, instant now)
+{
+    if (reply != nullptr && (*reply)->failure) {
+        task.last_refusal = *(*reply)->failure;
+        if ((*(*reply)->failure)->kind == error_kind::unknown_prepared_name) {
+            task.last_refusal = std::nullopt; // The next connection prepares the shape anew.
+        }
+    } else if (reply == nullptr) {
+        task.may_have_run = task.may_have_run || task.sent_statement;
+    }
+    hooks_.log("statement_requeued",
+               "id=" + task.request->request_id + " member=" + task.member + " reason=" +
+                   (task.last_refusal ? std::string(answer_for((*task.last_refusal)->kind).name) : "connection_state"));
+    task.excluded.insert(task.member);
+    task.connection = 0;
+    task.sent_statement = false;
+    const bool busy = task.last_refusal && (*task.last_refusal)->kind == error_kind::overloaded;
+    task.not_before = busy ? now + busy_pause : now;
+    queues_[task.request->policy->service].insert({task.request->policy->priority, task.deadline, task.number});
+}
+
+void statement_dispatcher::release(statement_task& task, instant now)
+{
+    pool_.release(std::exchange(task.connection, 0), now);
+}
+
+bool statement_dispatcher::may_repeat(const statement_task& task)
+{
+    return task.request->kind != task_kind::in_transaction;
+}
+
+/// A lost read or a lost first statement of a transaction, which the member rolls back, leaves nothing behind.
+bool statement_dispatcher::may_repeat_lost(const statement_task& task)
+{
+    switch (task.request->kind) {
+    case task_kind::single:
+        return !task.request->writes;
+    case task_kind::opens_transaction:
+    case task_kind::opens_read_transaction:
+        return task.request->query->verb != statement_verb::commit;
+    case task_kind::in_transaction:
+        break;
+    }
+    return false;
+}
+
+void statement_dispatcher::deliver(statement_task& task, const member_reply& reply, instant now)
+{
+    task_outcome_fields fields{.rows = reply->rows,
+                               .receipt = reply->receipt,
+                               .failure = reply->failure,
+                               .state = reply->state,
+                               .position = reply->position,
+                               .leads = task.on_leader,
+                               .member = task.member,
+                               .sent_at = task.sent_at};
+    const connection_number connection = std::exchange(task.connection, 0);
+    if (task.request->kind == task_kind::single) {
+        fields.state = transaction_state::none;
+    }
+    if (fields.state == transaction_state::open) {
+        fields.connection = connection;
+        if (pooled_connection* kept = pool_.find(connection)) {
+            kept->lost = [this, connection](instant at) {
+                hooks_.connection_lost(connection, at);
+            };
+        }
+    } else {
+        pool_.release(connection, now);
+    }
+    outcomes_.emplace_back(task.request, task_outcome{std::move(fields)});
+}
+
+void statement_dispatcher::fail(statement_task& task, error_kind kind, std::string detail)
+{
+    const bool in_transaction = task.request->kind != task_kind::single;
+    const bool ended = task.request->query->verb == statement_verb::commit;
+    outcomes_.emplace_back(task.request, task_outcome{{.failure = error{{.kind = kind, .detail = std::move(detail)}},
+                                                       .state = in_transaction && !ended ? transaction_state::failed
+                                                                                         : transaction_state::none,
+                                                       .member = task.member,
+                                                       .sent_at = task.sent_at}});
+}
+
+void statement_dispatcher::refuse_not_run(statement_task& task, instant now)
+{
+    if (task.may_have_run) {
+        // An earlier attempt was lost. It kept nothing, but to call it not run would be untrue.
+        const bool lone = task.request->kind == task_kind::single;
+        fail(task, lone ? error_kind::statement_failed : error_kind::transaction_lost,
+             "connection to member " + task.member + " ended");
+        return;
+    }
+    const bool on_leader = needs_leader(task, now);
+    const wait_prospects seen = prospects(task.request->policy, on_leader, task.deadline, now);
+    const auto back_ms = std::chrono::duration_cast<std::chrono::milliseconds>(retry_after(seen)).count();
+    const bool leaderless = on_leader && !seen->leader_known;
+    const error_kind kind = leaderless ? error_kind::no_primary : error_kind::overloaded;
+    fail(task, kind,
+         std::string(answer_for(kind).name) + " retry_after_ms=" + std::to_string(back_ms) +
+             (task.last_refusal ? " last=" + std::string(answer_for((*task.last_refusal)->kind).name) : std::string{}));
+}
+
+/// The statement was sent, and no answer came.
+void statement_dispatcher::report_lost(statement_task& task)
+{
+    const std::string where = "no answer from member " + task.member;
+    const bool commit = task.request->query->verb == statement_verb::commit;
+    switch (task.request->kind) {
+    case task_kind::single:
+        fail(task, task.request->writes ? error_kind::outcome_unknown : error_kind::statement_timeout, where);
+        return;
+    case task_kind::opens_transaction:
+    case task_kind::opens_read_transaction:
+    case task_kind::in_transaction:
+        // Its connection is closed, so the member rolls back what is not committed.
+        fail(task, commit ? error_kind::outcome_unknown : error_kind::transaction_lost, where);
+        return;
+    }
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/dispatch/statement_dispatcher.cc
@@ -0,0 +1,220 @@
+#include "dispatch/statement_dispatcher.h"
+
+#include <cassert>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Attempts of one statement. Each further one follows a refusal, and members that refuse one statement several times
+/// in a row are overloaded.
+constexpr unsigned max_attempts = 5;
+
+} // namespace
+
+result<std::unique_ptr<statement_dispatcher>> statement_dispatcher::make(dispatcher_hooks hooks, member_pool& pool,
+                                                                         std::string data_center)
+{
+    std::unique_ptr<statement_dispatcher> made(
+        new statement_dispatcher(std::move(hooks), pool, std::move(data_center)));
+    if (const auto bound = made->bind(); !ok(bound)) {
+        return error_of(bound);
+    }
+    return made;
+}
+
+result<done> statement_dispatcher::bind()
+{
+    auto subject = chart::make_embedded("statement");
+    if (!ok(subject)) {
+        return error_of(subject);
+    }
+    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    if (!ok(made)) {
+        return error_of(made);
+    }
+    program_.emplace(take(std::move(made)));
+    return done{};
+}
+
+chart_bindings<statement_dispatcher::context> statement_dispatcher::bindings()
+{
+    return {
+        .events = {"placed", "prepared", "begun", "answered", "refused", "lost", "expired", "hopeless", "cancelled"},
+        .guards =
+            {
+                {"needs_setup",
+                 [](const context& each) {
+                     return each.dispatcher.needs_setup(each.task);
+                 }},
+                {"needs_begin",
+                 [](const context& each) {
+                     return needs_begin(each.task);
+                 }},
+                {"in_transaction",
+                 [](const context& each) {
+                     return each.task.request->kind == task_kind::in_transaction;
+                 }},
+                {"may_repeat",
+                 [](const context& each) {
+                     return may_repeat(each.task);
+                 }},
+                {"may_repeat_lost",
+                 [](const context& each) {
+                     return may_repeat_lost(each.task);
+                 }},
+            },
+        .actions = {
+            {"send_setup",
+             [](context& each) {
+                 each.dispatcher.send_setup(each.task, each.now);
+             }},
+            {"send_begin",
+             [](context& each) {
+                 each.dispatcher.send_begin(each.task, each.now);
+             }},
+            {"send_statement",
+             [](context& each) {
+                 each.dispatcher.send_statement(each.task, each.now);
+             }},
+            {"requeue",
+             [](context& each) {
+                 each.dispatcher.requeue(each.task, each.reply, each.now);
+             }},
+            {"release_connection",
+             [](context& each) {
+                 each.dispatcher.release(each.task, each.now);
+             }},
+            {"discard_connection",
+             [](context& each) {
+                 each.dispatcher.pool_.discard(std::exchange(each.task.connection, 0), each.now);
+             }},
+            {"deliver",
+             [](context& each) {
+                 each.dispatcher.deliver(each.task, *each.reply, each.now);
+             }},
+            {"refuse_not_run",
+             [](context& each) {
+                 each.dispatcher.refuse_not_run(each.task, each.now);
+             }},
+            {"report_lost",
+             [](context& each) {
+                 each.dispatcher.report_lost(each.task);
+             }},
+            {"report_rolled_back",
+             [](context& each) {
+                 each.dispatcher.fail(each.task, error_kind::transaction_lost,
+                                      "connection to member " + each.task.member + " ended");
+             }},
+        }};
+}
+
+void statement_dispatcher::fire(statement_task& task, event what, const member_reply* reply, instant now)
+{
+    const bool was_final = program_->is_final(task.state);
+    context each{.dispatcher = *this, .task = task, .reply = reply, .now = now};
+    task.state = program_->fire(task.state, what, each).state;
+    if (!was_final && program_->is_final(task.state)) {
+        queues_[task.request->policy->service].erase({task.request->policy->priority, task.deadline, task.number});
+        finished_.push_back(task.number);
+    }
+}
+
+void statement_dispatcher::drop_finished()
+{
+    for (const task_number number : std::exchange(finished_, {})) {
+        tasks_.erase(number);
+    }
+}
+
+task_number statement_dispatcher::submit(const task_request& request, instant now)
+{
+    drop_finished();
+    const task_number number = ++last_task_;
+    statement_task& task = tasks_[number];
+    task.number = number;
+    task.state = program_->initial();
+    task.request = request;
+    task.arrived = now;
+    task.deadline = now + request->policy->statement_timeout;
+    deadlines_.arm(task.deadline, number);
+    const std::string service = request->policy->service;
+    if (request->kind == task_kind::in_transaction) {
+        task.connection = request->connection;
+        if (const pooled_connection* connection = pool_.find(task.connection)) {
+            task.member = connection->member;
+            task.on_leader = request->proves_lead;
+            fire(task, event::placed, nullptr, now);
+        } else {
+            fail(task, error_kind::transaction_lost, "connection of the transaction ended");
+            fire(task, event::cancelled, nullptr, now);
+        }
+        return number;
+    }
+    queues_[service].insert({request->policy->priority, task.deadline, number});
+    pump(service, now);
+    return number;
+}
+
+void statement_dispatcher::cancel(task_number number, instant now)
+{
+    if (const auto found = tasks_.find(number); found != tasks_.end()) {
+        fire(found->second, event::cancelled, nullptr, now);
+    }
+}
+
+void statement_dispatcher::pump(const std::string& service, instant now)
+{
+    // A copy: placing and refusing change the queue.
+    const std::set<queue_key> queue = queues_[service];
+    std::size_t ahead = 0;
+    for (const queue_key& key : queue) {
+        const auto found = tasks_.find(std::get<task_number>(key));
+        if (found == tasks_.end() || program_->is_final(found->second.state) || found->second.connection != 0) {
+            continue;
+        }
+        statement_task& task = found->second;
+        const bool exhausted = task.attempts >= max_attempts;
+        if (!exhausted && now >= task.not_before && try_place(task, now)) {
+            continue;
+        }
+        if (exhausted || !worth_waiting(prospects_of(task, ahead, now))) {
+            fire(task, event::hopeless, nullptr, now);
+            continue;
+        }
+        ++ahead;
+    }
+}
+
+void statement_dispatcher::tick(instant now)
+{
+    drop_finished();
+    while (const auto due = deadlines_.take_due(now)) {
+        if (const auto found = tasks_.find(*due); found != tasks_.end()) {
+            fire(found->second, event::expired, nullptr, now);
+        }
+    }
+    for (const auto& [service, queue] : queues_) {
+        if (!queue.empty()) {
+            pump(service, now);
+        }
+    }
+    drop_finished();
+}
+
+void statement_dispatcher::report(instant now)
+{
+    while (!outcomes_.empty()) {
+        const auto [request, outcome] = std::move(outcomes_.front());
+        outcomes_.pop_front();
+        hooks_.finished(request, outcome, now);
+    }
+}
+
+std::size_t statement_dispatcher::waiting(const std::string& service) const
+{
+    const auto found = queues_.find(service);
+    return found == queues_.end() ? 0 : found->second.size();
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/dispatch/statement_dispatcher.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "citronfall/chart_program.h"
+#include "citronfall/instant.h"
+#include "citronfall/result.h"
+#include "core/timer_queue.h"
+#include "dispatch/placement.h"
+#include "dispatch/statement_task.h"
+#include "dispatch/wait_policy.h"
+#include "lead/service_state.h"
+#include "pool/exchange.h"
+#include "pool/member_pool.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace citronfall {
+
+/// Hooks of a dispatcher; all are called on the decision thread.
+struct dispatcher_hooks {
+    std::function<void(const task_request&, const task_outcome&, instant)> finished; ///< From report() only.
+    std::function<service_state&(const std::string&)> service;
+    std::function<void(const std::string& service, const std::string& member, const log_position&, instant sent_at,
+                       instant now)>
+        lead_proved; ///< An answer proved that the member led after `sent_at`.
+    std::function<void(const std::string& service, const std::string& member, instant now)> lead_refused;
+    std::function<void(connection_number, instant)> connection_lost; ///< One that stays with a session.
+    std::function<std::uint64_t(std::uint64_t)> random;              ///< A number below its argument.
+    std::function<void(const std::string&, const std::string&)> log; ///< Event and its fields.
+};
+
+/// Runs statements on members: queues them, places them, prepares the connection, sends them and decides about
+/// another attempt (chart `statement`).
+///
+/// A statement that may have run is never sent again unless it keeps nothing. Not thread-safe: owned by the decision
+/// thread.
+class statement_dispatcher {
+public:
+    /// Error (bad_request): the chart does not fit.
+    [[nodiscard]] static result<std::unique_ptr<statement_dispatcher>> make(dispatcher_hooks hooks, member_pool& pool,
+                                                                            std::string data_center);
+
+    /// Takes a statement on. Unless it is cancelled, its outcome follows once by `finished`.
+    task_number submit(const task_request& request, instant now);
+
+    /// The caller no longer waits. A statement that was sent is left to end, others are dropped.
+    void cancel(task_number task, instant now);
+
+    /// Tries to place the waiting statements of a service.
+    void pump(const std::string& service, instant now);
+
+    /// Ends what is past its deadline and pumps all services. To be called every few tens of milliseconds.
+    void tick(instant now);
+
+    /// Calls `finished` for the statements that have ended. To be called after each event; `finished` may submit more.
+    void report(instant now);
+
+    /// When the next deadline is due.
+    [[nodiscard]] std::optional<instant> next() const { return deadlines_.next(); }
+
+    /// Statements in progress, waiting ones included.
+    [[nodiscard]] std::size_t size() const { return tasks_.size(); }
+
+    /// Waiting statements of a service.
+    [[nodiscard]] std::size_t waiting(const std::string& service) const;
+
+    /// Prospects of a statement of a route at `now`, as for a new one.
+    [[nodiscard]] wait_prospects prospects(const route& policy, bool needs_leader, instant deadline, instant now) const;
+
+private:
+    enum class event : std::uint8_t {
+        placed,
+        prepared,
+        begun,
+        answered,
+        refused,
+        lost,
+        expired,
+        hopeless,
+        cancelled,
+    };
+    struct context {
+        statement_dispatcher& dispatcher;
+        statement_task& task;
+        const member_reply* reply;
+        instant now;
+    };
+    using queue_key = std::tuple<std::uint32_t, instant, task_number>; ///< Priority, deadline, task.
+
+    statement_dispatcher(dispatcher_hooks hooks, member_pool& pool, std::string data_center)
+        : hooks_(std::move(hooks)), pool_(pool), data_center_(std::move(data_center))
+    {
+    }
+
+    result<done> bind();
+    static chart_bindings<context> bindings();
+    void fire(statement_task& task, event what, const member_reply* reply, instant now);
+    void drop_finished();
+
+    // Placement (statement_placement.cc).
+    [[nodiscard]] bool needs_leader(const statement_task& task, instant now) const;
+    [[nodiscard]] std::optional<read_floor> floor_of(const statement_task& task, instant now) const;
+    bool try_place(statement_task& task, instant now);
+    bool place_on_leader(statement_task& task, instant now);
+    bool place_on_any(statement_task& task, const read_floor& floor, instant now);
+    [[nodiscard]] std::vector<placement_candidate> candidates(const statement_task& task, const read_floor& floor,
+                                                              instant now) const;
+    void start_on(statement_task& task, const std::string& member, connection_number connection, instant now);
+    [[nodiscard]] wait_prospects prospects_of(const statement_task& task, std::size_t ahead, instant now) const;
+    [[nodiscard]] duration typical_latency(const std::string& service, instant now) const;
+
+    // Attempts (statement_attempt.cc).
+    [[nodiscard]] bool needs_setup(const statement_task& task) const;
+    [[nodiscard]] static bool needs_begin(const statement_task& task);
+    void send_setup(statement_task& task, instant now);
+    void send_begin(statement_task& task, instant now);
+    void send_statement(statement_task& task, instant now);
+    [[nodiscard]] member_statement statement_for_member(const statement_task& task) const;
+    exchange_hook answer_hook(task_number number, event success);
+    void on_setup_answer(task_number number, const exchange_outcome& outcome, instant now);
+    void on_answer(task_number number, event success, const exchange_outcome& outcome, instant now);
+    void learn(statement_task& task, const member_reply& reply, bool begin, instant now);
+    void requeue(statement_task& task, const member_reply* reply, instant now);
+    void deliver(statement_task& task, const member_reply& reply, instant now);
+    void fail(statement_task& task, error_kind kind, std::string detail);
+    void refuse_not_run(statement_task& task, instant now);
+    void report_lost(statement_task& task);
+    void release(statement_task& task, instant now);
+    [[nodiscard]] static bool may_repeat(const statement_task& task);
+    [[nodiscard]] static bool may_repeat_lost(const statement_task& task);
+
+    dispatcher_hooks hooks_;
+    member_pool& pool_;
+    std::string data_center_;
+    std::optional<chart_program<event, context>> program_;
+    std::map<task_number, statement_task> tasks_;
+    std::map<std::string, std::set<queue_key>> queues_; ///< Waiting tasks by service.
+    timer_queue<task_number> deadlines_;
+    std::vector<task_number> finished_;                          ///< Erased by the next call from outside.
+    std::deque<std::pair<task_request, task_outcome>> outcomes_; ///< Not reported yet.
+    task_number last_task_ = 0;
+};
+
+} // namespace citronfall
--- /dev/null
+++ b/src/dispatch/statement_placement.cc
@@ -0,0 +1,173 @@
+#include "dispatch/statement_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Added to the age that a read accepts: positions count from the instant at which a statement was sent, and a read's
+/// age from its first byte, which arrived before it was decoded.
+constexpr duration staleness_margin = std::chrono::milliseconds(50);
+
+/// Assumed before the first answer of a service.
+constexpr duration unmeasured_latency = std::chrono::milliseconds(20);
+
+} // namespace
+
+std::optional<read_floor> statement_dispatcher::floor_of(const statement_task& task, instant now) const
+{
+    const route& policy = task.request->policy;
+    if (policy->consistency == read_consistency::primary) {
+        return std::nullopt;
+    }
+    const evidence_log& evidence = hooks_.service(policy->service).evidence;
+    const auto seen = evidence.lowest_since(now - policy->max_staleness + staleness_margin);
+    if (!seen) {
+        return std::nullopt;
+    }
+    const auto& own = task.request->own_commits;
+    if (policy->consistency == read_consistency::read_your_writes && own && (*own)->position > (*seen)->position) {
+        return *own;
+    }
+    return read_floor{{.position = (*seen)->position, .known_since = (*seen)->sent_at}};
+}
+
+bool statement_dispatcher::needs_leader(const statement_task& task, instant now) const
+{
+    if (task.request->writes || task.request->kind == task_kind::opens_transaction) {
+        return true;
+    }
+    return !floor_of(task, now);
+}
+
+bool statement_dispatcher::try_place(statement_task& task, instant now)
+{
+    if (needs_leader(task, now)) {
+        return place_on_leader(task, now);
+    }
+    return place_on_any(task, *floor_of(task, now), now);
+}
+
+bool statement_dispatcher::place_on_leader(statement_task& task, instant now)
+{
+    const std::string& service = task.request->policy->service;
+    const auto& leader = hooks_.service(service).lead.leader();
+    if (!leader) {
+        return false;
+    }
+    const connection_number connection =
+        pool_.acquire(*leader, {.values = task.request->values, .waiting = waiting(service)}, now);
+    if (connection == 0) {
+        return false;
+    }
+    task.on_leader = true;
+    task.floor.reset();
+    start_on(task, *leader, connection, now);
+    return true;
+}
+
+std::vector<placement_candidate> statement_dispatcher::candidates(const statement_task& task, const read_floor& floor,
+                                                                  instant now) const
+{
+    const std::string& service = task.request->policy->service;
+    service_state& known = hooks_.service(service);
+    const duration typical = typical_latency(service, now);
+    std::vector<placement_candidate> list;
+    for (const std::string& id : pool_.members_of(service)) {
+        const pooled_member& each = *pool_.member(id);
+        const bool leads = known.lead.leader() == id;
+        // The leader holds every position that it or this daemon observed.
+        const bool holds = leads || known.progress[id].holds(floor, now);
+        list.push_back(placement_candidate{{.member = id,
+                                            .leads = leads,
+                                            .draining = each.entry->draining,
+                                            .holds_floor = holds && !task.excluded.contains(id),
+                                            .local = each.entry->data_center == data_center_,
+                                            .warming_up = now - each.seen_at < each.entry->warm_up_left,
+                                            .reach = each.health.reach(),
+                                            .idle = each.idle.size(),
+                                            .running = each.running,
+                                            .slots = each.entry->slots,
+                                            .latency = each.latency.at(now, typical)}});
+    }
+    return list;
+}
+
+bool statement_dispatcher::place_on_any(statement_task& task, const read_floor& floor, instant now)
+{
+    const auto list = candidates(task, floor, now);
+    const auto chosen = choose_member(list, hooks_.random);
+    const acquire_options wanted{.values = task.request->values, .waiting = waiting(task.request->policy->service)};
+    if (!chosen) {
+        // Nothing is idle: ask for one more connection wherever the budget allows it.
+        for (const placement_candidate& each : list) {
+            if (each->reach != member_reach::silent && each->reach != member_reach::down && !each->draining) {
+                static_cast<void>(pool_.acquire(each->member, wanted, now));
+            }
+        }
+        return false;
+    }
+    const connection_number connection = pool_.acquire(*chosen, wanted, now);
+    if (connection == 0) {
+        return false;
+    }
+    task.on_leader = false;
+    task.floor = floor;
+    start_on(task, *chosen, connection, now);
+    return true;
+}
+
+void statement_dispatcher::start_on(statement_task& task, const std::string& member, connection_number connection,
+                                    instant now)
+{
+    task.member = member;
+    task.connection = connection;
+    ++task.attempts;
+    queues_[task.request->policy->service].erase({task.request->policy->priority, task.deadline, task.number});
+    fire(task, event::placed, nullptr, now);
+}
+
+duration statement_dispatcher::typical_latency(const std::string& service, instant now) const
+{
+    duration lowest = duration::max();
+    for (const std::string& id : pool_.members_of(service)) {
+        const pooled_member& each = *pool_.member(id);
+        if (each.latency.measured()) {
+            lowest = std::min(lowest, each.latency.at(now, unmeasured_latency));
+        }
+    }
+    return lowest == duration::max() ? unmeasured_latency : lowest;
+}
+
+wait_prospects statement_dispatcher::prospects_of(const statement_task& task, std::size_t ahead, instant now) const
+{
+    wait_prospects seen = prospects(task.request->policy, needs_leader(task, now), task.deadline, now);
+    return with(seen, [ahead](wait_prospects_fields& fields) { fields.ahead = ahead; });
+}
+
+wait_prospects statement_dispatcher::prospects(const route& policy, bool needs_leader, instant deadline,
+                                               instant now) const
+{
+    const std::string& service = policy->service;
+    const lead_view& lead = hooks_.service(service).lead;
+    std::size_t connections = 0;
+    for (const std::string& id : pool_.members_of(service)) {
+        if (!needs_leader || lead.leader() == id) {
+            const pooled_member& each = *pool_.member(id);
+            const bool reachable =
+                each.health.reach() == member_reach::good || each.health.reach() == member_reach::unknown;
+            connections += reachable ? std::max<std::size_t>(each.all.size(), 1) : 0;
+        }
+    }
+    return wait_prospects{{.now = now,
+                           .deadline = deadline,
+                           .service_time = typical_latency(service, now),
+                           .ahead = waiting(service),
+                           .connections = connections,
+                           .needs_leader = needs_leader,
+                           .leader_known = lead.leader().has_value(),
+                           .leader_lost = lead.lost_since()}};
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/dispatch/wait_policy.cc
@@ -0,0 +1,52 @@
+#include "dispatch/wait_policy.h"
+
+#include <algorithm>
+
+namespace citronfall {
+namespace {
+
+/// From the loss of a leader to the first answer of the next: suspicion, positions, promotion.
+constexpr duration typical_change = std::chrono::milliseconds(700);
+
+/// A change that takes longer than this has met trouble; nobody can tell when it ends.
+constexpr duration longest_change = std::chrono::milliseconds(1500);
+
+/// Least time that a change in progress is expected to take still.
+constexpr duration least_remaining = std::chrono::milliseconds(50);
+
+/// Hint for callers when it is unknown when service returns.
+constexpr duration unknown_return = std::chrono::milliseconds(1000);
+
+} // namespace
+
+std::optional<duration> expected_wait(const wait_prospects& prospects)
+{
+    if (prospects->needs_leader && !prospects->leader_known) {
+        if (!prospects->leader_lost) {
+            return std::nullopt;
+        }
+        const duration since = prospects->now - *prospects->leader_lost;
+        if (since > longest_change) {
+            return std::nullopt;
+        }
+        return std::max(typical_change - since, least_remaining);
+    }
+    if (prospects->connections == 0) {
+        return std::nullopt;
+    }
+    const auto rounds = static_cast<std::int64_t>(prospects->ahead / prospects->connections);
+    return prospects->service_time * rounds;
+}
+
+bool worth_waiting(const wait_prospects& prospects)
+{
+    const auto wait = expected_wait(prospects);
+    return wait && prospects->now + *wait + prospects->service_time <= prospects->deadline;
+}
+
+duration retry_after(const wait_prospects& prospects)
+{
+    return expected_wait(prospects).value_or(unknown_return);
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,281 @@
+#include "gateway/gateway.h"
+
+#include "citronfall/bounded_ring.h"
+#include "core/boot_clock.h"
+#include "core/ring_feeder.h"
+#include "event_log/event_log.h"
+#include "gateway/gateway_engine.h"
+#include "gateway/probe_server.h"
+#include "peer/peer_service.h"
+#include "presence_codec/presence_codec.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include <easylogging++.h>
+
+namespace citronfall {
+namespace {
+
+constexpr std::size_t event_ring_capacity = 16'384;
+
+/// Longest sleep of the decision thread while an element waits for a place in a ring.
+constexpr duration full_ring_wait = std::chrono::milliseconds(1);
+
+/// Prefix of the daemons' own keys in the store.
+constexpr const char* own_prefix = "citronfall/";
+
+/// Descriptors that are left for members, the store, peers and probes.
+constexpr std::uint32_t reserved_descriptors = 600;
+
+std::function<std::uint64_t(std::uint64_t)> make_random()
+{
+    return [engine = std::mt19937_64(std::random_device{}())](std::uint64_t below) mutable {
+        return std::uniform_int_distribution<std::uint64_t>(0, below - 1)(engine);
+    };
+}
+
+std::size_t max_sessions(const gateway_settings& settings)
+{
+    return std::max<std::size_t>(settings->max_descriptors, 2 * reserved_descriptors) - reserved_descriptors;
+}
+
+void write_line(const log_line& line)
+{
+    LOG(INFO) << "event=" << line->event << ' ' << line->fields;
+}
+
+} // namespace
+
+class gateway::parts {
+public:
+    parts(gateway_settings settings, gateway_platform platform);
+
+    result<done> build();
+    void run();
+    void push(const gateway_event& event) { static_cast<void>(events_.push(event)); }
+
+private:
+    result<done> build_engine();
+    gateway_engine_options engine_options();
+    void run_decisions();
+    bool flush_rings();
+    void push_store(const store_call& call);
+    void reload();
+
+    gateway_settings settings_;
+    gateway_platform platform_;
+    std::uint64_t incarnation_ = std::random_device{}(); ///< Tells this run of the daemon from others.
+    bounded_ring<gateway_event> events_;
+    event_log log_;
+    caller_server callers_;
+    member_client members_;
+    peer_service peers_;
+    probe_server probes_;
+    store_port store_;
+    ring_feeder<caller_reply> replies_;
+    ring_feeder<member_command> commands_;
+    std::unique_ptr<gateway_engine> engine_;
+    bool stopped_ = false; ///< Owned by the decision thread.
+};
+
+gateway::parts::parts(gateway_settings settings, gateway_platform platform)
+    : settings_(std::move(settings)), platform_(std::move(platform)), events_({.capacity = event_ring_capacity}),
+      log_({.write = write_line}), callers_({.address = settings_->callers,
+                                             .make_decoder = platform_.make_caller_decoder,
+                                             .encode = platform_.encode_reply,
+                                             .notify = [this](const caller_event& event) { push(event); },
+                                             .max_sessions = max_sessions(settings_)}),
+      members_({.make_decoder = platform_.make_member_decoder,
+                .encode_open = platform_.encode_open,
+                .encode_queries = platform_.encode_queries,
+                .notify =
+                    [this](const member_event& event) {
+                        push(event);
+                    }}),
+      peers_({.self = peer_hello{{.daemon = settings_->name,
+                                  .region = settings_->region,
+                                  .data_center = settings_->data_center,
+                                  .incarnation = incarnation_}},
+              .listen = settings_->peer_listen,
+              .seeds = settings_->peers,
+              .notify = [this](const peer_event& event) { push(event); },
+              .random = make_random()}),
+      probes_({.address = settings_->probe,
+               .ready_path = settings_->probe_path,
+               .metrics_path = "/metrics",
+               .metrics_address = settings_->metrics}),
+      replies_(callers_.replies()), commands_(members_.commands())
+{
+}
+
+result<done> gateway::parts::build()
+{
+    auto store = platform_.make_store(settings_, [this](const store_answer& answer) { push(answer); });
+    if (!ok(store)) {
+        return error_of(store);
+    }
+    store_ = take(std::move(store));
+    if (auto built = build_engine(); !ok(built)) {
+        return built;
+    }
+    if (auto opened = callers_.open(); !ok(opened)) {
+        return opened;
+    }
+    if (auto opened = peers_.open(); !ok(opened)) {
+        return opened;
+    }
+    return probes_.start();
+}
+
+gateway_engine_options gateway::parts::engine_options()
+{
+    directory_options directory{.keys = platform_.keys,
+                                .read_deployment = platform_.read_deployment,
+                                .read_member = platform_.read_member,
+                                .read_daemon = presence_codec::read_daemon,
+                                .read_duty = presence_codec::read_duty};
+    directory.keys.daemons = std::string(own_prefix) + "daemons/";
+    directory.keys.duties = std::string(own_prefix) + "duties/";
+    return {.settings = settings_,
+            .incarnation = incarnation_,
+            .reply = [this](const caller_reply& reply) { replies_.push(reply); },
+            .member = [this](const member_command& command) { commands_.push(command); },
+            .store = [this](const store_call& call) { push_store(call); },
+            .peer = [this](const peer_order& order) { static_cast<void>(peers_.orders().try_push(order)); },
+            .log = [this](const log_line& line, instant now) { log_.add(line, now); },
+            .ready = [this](bool ready) { probes_.set_ready(ready); },
+            .publish = [this](const metrics_report& report) { probes_.publish(report); },
+            .reload = [this] { reload(); },
+            .stop = [this] { stopped_ = true; },
+            .random = make_random(),
+            .directory = std::move(directory),
+            .configuration_prefix = platform_.configuration_prefix,
+            .own_prefix = own_prefix,
+            .encode_daemon = [](const daemon_entry& entry) { return presence_codec::encode(entry); },
+            .encode_duty = [](const duty_entry& entry) { return presence_codec::encode(entry); },
+            .read_status = platform_.read_status};
+}
+
+result<done> gateway::parts::build_engine()
+{
+    auto engine = gateway_engine::make(engine_options());
+    if (!ok(engine)) {
+        return error_of(engine);
+    }
+    engine_ = take(std::move(engine));
+    return done{};
+}
+
+/// A call that finds no place is answered as not carried out; the caller of the store tries again.
+void gateway::parts::push_store(const store_call& call)
+{
+    if (!store_.try_push(call)) {
+        static_cast<void>(events_.try_push(store_answer{
+            {.number = call->number, .outcome = call_outcome::refused, .detail = "too many calls in progress"}}));
+    }
+}
+
+void gateway::parts::reload()
+{
+    const auto read = platform_.read_settings();
+    if (!ok(read)) {
+        log_.add(log_line{{.weight = log_weight::notable,
+                           .event = "reload_failed",
+                           .fields = "reason=\"" + error_of(read)->detail + "\""}},
+                 boot_now());
+        return;
+    }
+    const bool same = value_of(read) == settings_;
+    log_.add(log_line{{.weight = log_weight::notable,
+                       .event = "settings_reloaded",
+                       .fields = same ? "changed=no" : "changed=yes in_force=at_next_start"}},
+             boot_now());
+}
+
+bool gateway::parts::flush_rings()
+{
+    const bool replies = replies_.flush();
+    const bool commands = commands_.flush();
+    return replies && commands;
+}
+
+void gateway::parts::run_decisions()
+{
+    while (!stopped_) {
+        const bool flushed = flush_rings();
+        instant now = boot_now();
+        const duration until_due = std::max(engine_->next(now) - now, duration{});
+        const auto event = events_.pop_for(flushed ? until_due : std::min(until_due, full_ring_wait));
+        now = boot_now();
+        if (event) {
+            engine_->handle(*event, now);
+        }
+        if (now >= engine_->next(now)) {
+            engine_->tick(now);
+        }
+    }
+}
+
+void gateway::parts::run()
+{
+    log_.add(log_line{{.weight = log_weight::notable,
+                       .event = "started",
+                       .fields = "daemon=" + settings_->name + " data_center=" + settings_->data_center +
+                                 " incarnation=" + std::to_string(incarnation_) + " callers=" + settings_->callers +
+                                 " peers=" + settings_->peer_listen + " metrics=" + settings_->metrics}},
+             boot_now());
+    std::thread lines([this] { log_.run(); });
+    std::thread store([this] { store_.run(); });
+    std::thread members([this] { members_.run(); });
+    std::thread peers([this] { peers_.run(); });
+    std::thread callers([this] { callers_.run(); });
+    run_decisions();
+    static_cast<void>(flush_rings());
+    log_.add(log_line{{.weight = log_weight::notable, .event = "stopped", .fields = "daemon=" + settings_->name}},
+             boot_now());
+    events_.close();
+    callers_.stop();
+    members_.stop();
+    peers_.stop();
+    store_.stop();
+    probes_.stop();
+    callers.join();
+    members.join();
+    peers.join();
+    store.join();
+    log_.stop();
+    lines.join();
+}
+
+result<std::unique_ptr<gateway>> gateway::make(const gateway_settings& settings, gateway_platform platform)
+{
+    auto all = std::make_unique<parts>(settings, std::move(platform));
+    if (const auto built = all->build(); !ok(built)) {
+        return error_of(built);
+    }
+    return std::unique_ptr<gateway>(new gateway(std::move(all)));
+}
+
+gateway::gateway(std::unique_ptr<parts> all) : parts_(std::move(all)) {}
+
+gateway::~gateway() = default;
+
+void gateway::run()
+{
+    parts_->run();
+}
+
+void gateway::terminate()
+{
+    parts_->push(control_event::terminate);
+}
+
+void gateway::reload()
+{
+    parts_->push(control_event::reload);
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/gateway/gateway_engine.cc
@@ -0,0 +1,381 @@
+#include "gateway/gateway_engine.h"
+
+#include "citronfall/answer_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Longest time between two ticks: bounds how late an expiry, a probe or a retry is.
+constexpr duration tick_interval = std::chrono::milliseconds(25);
+
+/// A gap between two ticks that only a process that stood still explains.
+constexpr duration stall_limit = std::chrono::milliseconds(200);
+
+/// Between two snapshots of the metrics.
+constexpr duration metrics_interval = std::chrono::seconds(1);
+
+/// Evidence older than any staleness bound is of no use; bounds are a few seconds.
+constexpr duration evidence_lifetime = std::chrono::seconds(30);
+
+/// Entries that ended while the store was away, or while a live member was cut off from it, return within two seconds.
+constexpr duration entry_return_time = std::chrono::milliseconds(2500);
+
+/// Time before the drain bound at which a departed member gets no new work at all, for statements under way.
+constexpr duration drain_reserve = std::chrono::milliseconds(1500);
+
+/// A daemon that had an answer of a primary within this time reaches it.
+constexpr duration reach_memory = std::chrono::milliseconds(700);
+
+constexpr std::size_t member_mirror = 1;
+
+} // namespace
+
+gateway_engine::gateway_engine(gateway_engine_options options) : options_(std::move(options)) {}
+
+result<std::unique_ptr<gateway_engine>> gateway_engine::make(gateway_engine_options options)
+{
+    std::unique_ptr<gateway_engine> made(new gateway_engine(std::move(options)));
+    if (const auto built = made->build(); !ok(built)) {
+        return error_of(built);
+    }
+    return made;
+}
+
+void gateway_engine::handle(const gateway_event& event, instant now)
+{
+    now_ = now;
+    std::visit([this, now](const auto& each) { on_event(each, now); }, event);
+    settle(now);
+}
+
+void gateway_engine::tick(instant now)
+{
+    now_ = now;
+    if (last_tick_ != instant{} && now - last_tick_ > stall_limit) {
+        log(log_weight::notable, "process_stalled", "for_ms=" + std::to_string((now - last_tick_).count() / 1000));
+        monitor_->stalled(now);
+    }
+    last_tick_ = now;
+    while (const auto due = timers_.take_due(now)) {
+        (*due)(now);
+    }
+    for (const auto& mirror : mirrors_) {
+        mirror->tick(now);
+    }
+    relay_->tick(now);
+    presence_->tick(now);
+    directory_changed_ = directory_->expire(now) || directory_changed_;
+    pool_->tick(now);
+    tick_services(now);
+    dispatcher_->tick(now);
+    sessions_->tick(directory_->configuration() ? (*directory_->configuration())->idle_transaction_limit : duration{},
+                    now);
+    lifecycle_->able(directory_->configuration() && pool_->open_connections() > 0, now);
+    lifecycle_->tick(now);
+    if (now >= next_metrics_) {
+        next_metrics_ = now + metrics_interval;
+        publish_metrics(now);
+    }
+    settle(now);
+}
+
+instant gateway_engine::next(instant now) const
+{
+    instant due = std::max(last_tick_ + tick_interval, now);
+    for (const auto& each : {timers_.next(), dispatcher_->next()}) {
+        due = each ? std::min(due, *each) : due;
+    }
+    return due;
+}
+
+/// Finishes what an event has started.
+void gateway_engine::settle(instant now)
+{
+    dispatcher_->report(now);
+    if (std::exchange(directory_changed_, false)) {
+        reconfigure(now);
+        dispatcher_->report(now);
+    }
+}
+
+void gateway_engine::on_event(const caller_event& event, instant now)
+{
+    sessions_->handle(event, now);
+}
+
+void gateway_engine::on_event(const member_event& event, instant now)
+{
+    pool_->handle(event, now);
+}
+
+void gateway_engine::on_event(const store_answer& answer, instant now)
+{
+    for (const auto& mirror : mirrors_) {
+        if (mirror->handle(answer, now)) {
+            return;
+        }
+    }
+    if (presence_->handle(answer, now)) {
+        return;
+    }
+    for (const auto& [service, change] : changes_) {
+        if (change->handle(answer, now)) {
+            return;
+        }
+    }
+}
+
+void gateway_engine::on_event(const peer_event& event, instant now)
+{
+    switch (event->kind) {
+    case peer_event_kind::connected:
+        log(log_weight::notable, "peer_connected", "peer=" + event->from);
+        peers_.insert(event->from);
+        relay_->connected(event->from);
+        return;
+    case peer_event_kind::disconnected:
+        log(log_weight::notable, "peer_lost", "peer=" + event->from);
+        peers_.erase(event->from);
+        relay_->disconnected(event->from);
+        return;
+    case peer_event_kind::received:
+        on_message(event->from, event->message, now);
+        return;
+    }
+}
+
+void gateway_engine::on_event(const control_event& event, instant now)
+{
+    switch (event) {
+    case control_event::terminate:
+        log(log_weight::notable, "signal", "kind=terminate");
+        lifecycle_->terminate(now);
+        return;
+    case control_event::reload:
+        log(log_weight::notable, "signal", "kind=reload");
+        options_.reload();
+        return;
+    }
+}
+
+void gateway_engine::on_message(const std::string& peer, const peer_message& message, instant now)
+{
+    if (const auto* digest = std::get_if<store_digest>(&message)) {
+        relay_->handle(peer, *digest, now);
+    } else if (const auto* request = std::get_if<store_request>(&message)) {
+        relay_->handle(peer, *request);
+    } else if (const auto* items = std::get_if<store_changes>(&message)) {
+        relay_->handle(peer, *items);
+    } else if (const auto* query = std::get_if<suspicion_query>(&message)) {
+        answer_suspicion(peer, *query, now);
+    } else if (const auto* reply = std::get_if<suspicion_reply>(&message)) {
+        for (const auto& [service, change] : changes_) {
+            change->peer_answered((*reply)->number, (*reply)->suspects, now);
+        }
+    } else if (const auto* notice = std::get_if<primary_notice>(&message)) {
+        heard_of_primary(*notice, now);
+    }
+}
+
+/// Tells a peer whether this daemon, too, misses the primary; if another one leads by now, also which.
+void gateway_engine::answer_suspicion(const std::string& peer, const suspicion_query& query, instant now)
+{
+    const lead_view& lead = services_[query->group].lead;
+    const pooled_member* leader = lead.leader() ? pool_->member(*lead.leader()) : nullptr;
+    const auto answered_at = leader != nullptr ? leader->health.answered_at() : std::nullopt;
+    const bool reaches = answered_at && now - *answered_at < reach_memory;
+    log(log_weight::notable, "suspicion_asked",
+        "service=" + query->group + " member=" + query->member + " peer=" + peer +
+            " reaches=" + (reaches ? "yes" : "no"));
+    options_.peer(peer_command{
+        {.to = peer,
+         .message = suspicion_reply{{.number = query->number, .suspects = !reaches, .term = lead.term()}}}});
+    if (reaches && *lead.leader() != query->member) {
+        options_.peer(peer_command{
+            {.to = peer,
+             .message = primary_notice{{.service = query->group, .member = *lead.leader(), .term = lead.term()}}}});
+    }
+}
+
+void gateway_engine::heard_of_primary(const primary_notice& notice, instant now)
+{
+    if (used_services_.contains(notice->service) && services_[notice->service].lead.leader() != notice->member) {
+        log(log_weight::notable, "primary_told", "service=" + notice->service + " member=" + notice->member);
+        monitor_->probe(notice->service, notice->member, now);
+    }
+}
+
+call_number gateway_engine::call_store(call_body body, duration timeout)
+{
+    const call_number number = ++last_call_;
+    metrics_.count("store_calls_total");
+    options_.store(store_call{{.number = number, .timeout = timeout, .body = std::move(body)}});
+    return number;
+}
+
+void gateway_engine::item_changed(const store_item& item)
+{
+    const std::string& members = options_.directory.keys.members;
+    const bool departed = item->deleted && item->key.starts_with(members);
+    directory_->apply(item, departed ? departure_of(item->key.substr(members.size())) : member_departure{});
+    directory_changed_ = true;
+}
+
+member_departure gateway_engine::departure_of(const std::string& member) const
+{
+    const pooled_member* known = pool_->member(member);
+    const auto failed_at = mirrors_[member_mirror]->failed_at();
+    const bool store_was_away = failed_at && now_ - *failed_at < entry_return_time;
+    if (known != nullptr && known->health.reach() == member_reach::good) {
+        return {.drain_at = now_ + entry_return_time,
+                .remove_at = now_ + std::max(options_.settings->drain_bound - drain_reserve, entry_return_time)};
+    }
+    const instant gone_at = store_was_away ? now_ + entry_return_time : now_;
+    return {.drain_at = gone_at, .remove_at = gone_at};
+}
+
+/// Passes on what changed in the directory.
+void gateway_engine::reconfigure(instant now)
+{
+    const auto& configuration = directory_->configuration();
+    std::map<std::string, std::uint32_t> limits;
+    used_services_.clear();
+    if (configuration) {
+        for (const auto& [database, each] : (*configuration)->routes) {
+            used_services_.insert(each->service);
+        }
+        for (const auto& [name, each] : (*configuration)->services) {
+            limits[name] = each->max_connections;
+        }
+    }
+    std::map<std::string, member_entry> members;
+    for (const auto& [id, entry] : directory_->members()) {
+        if (used_services_.contains(entry->service)) {
+            members.emplace(id, entry);
+        }
+    }
+    pool_->configure(members, limits, directory_->daemons().size(), now);
+    add_changes(now);
+    peer_candidates_fields candidates;
+    for (const auto& [name, entry] : directory_->daemons()) {
+        if (name != options_.settings->name && !entry->peer_address.empty()) {
+            candidates.addresses.push_back(entry->peer_address);
+        }
+    }
+    options_.peer(peer_candidates{std::move(candidates)});
+    pool_->tick(now);
+}
+
+void gateway_engine::add_changes(instant now)
+{
+    static_cast<void>(now);
+    for (const std::string& service : used_services_) {
+        if (changes_.contains(service)) {
+            continue;
+        }
+        if (const auto added = add_change(service); !ok(added)) {
+            log(log_weight::notable, "internal_error", "detail=\"" + error_of(added)->detail + "\"");
+        }
+    }
+}
+
+void gateway_engine::lead_proved(const std::string& service, const std::string& member, const log_position& position,
+                                 instant sent_at, instant now)
+{
+    service_state& state = services_[service];
+    const bool changed = state.lead.proved(member, position->term, sent_at);
+    if (state.lead.leader() != member) {
+        return;
+    }
+    state.evidence.add(observation{{.sent_at = sent_at, .position = position}});
+    state.evidence.forget_before(now - evidence_lifetime);
+    if (!changed) {
+        return;
+    }
+    log(log_weight::notable, "leader_found",
+        "service=" + service + " member=" + member + " position=" + std::to_string(position->term) + "." +
+            std::to_string(position->index));
+    if (const auto change = changes_.find(service); change != changes_.end()) {
+        const bool own_change = change->second->in_progress();
+        change->second->leader_found(member, position->term, now);
+        if (own_change) {
+            options_.peer(peer_command{
+                {.to = {},
+                 .message = primary_notice{{.service = service, .member = member, .term = state.lead.term()}}}});
+        }
+    }
+    dispatcher_->pump(service, now);
+}
+
+void gateway_engine::lead_lost(const std::string& service, const std::string& member, const char* reason, instant now)
+{
+    static_cast<void>(now);
+    metrics_.count("leaders_lost_total");
+    log(log_weight::notable, "leader_lost",
+        "service=" + service + " member=" + member + " reason=" + reason +
+            " term=" + std::to_string(services_[service].lead.term()));
+}
+
+void gateway_engine::member_answered(const std::string& member, const member_reply& reply, instant now)
+{
+    if (reply->position) {
+        service_state& state = services_[service_of(member)];
+        state.progress[member].answered(*reply->position, state.evidence, now);
+    }
+}
+
+void gateway_engine::reach_changed(const std::string& member, member_reach reach, instant now)
+{
+    log(log_weight::notable, "member_reach", "member=" + member + " reach=" + member_reach_name(reach));
+    monitor_->reach_changed(service_of(member), member, reach, now);
+}
+
+std::string gateway_engine::service_of(const std::string& member) const
+{
+    const pooled_member* known = pool_->member(member);
+    return known == nullptr ? std::string{} : known->entry->service;
+}
+
+void gateway_engine::tick_services(instant now)
+{
+    monitor_->tick(used_services_, now);
+    for (const auto& [service, change] : changes_) {
+        if (used_services_.contains(service)) {
+            change->tick(now);
+        }
+    }
+}
+
+peer_question gateway_engine::ask_peers(const std::string& service, const std::string& member, term_number term)
+{
+    const std::uint64_t number = ++last_question_;
+    options_.peer(peer_command{
+        {.to = {}, .message = suspicion_query{{.number = number, .group = service, .member = member, .term = term}}}});
+    return {.number = number, .asked = peers_.size()};
+}
+
+void gateway_engine::publish_metrics(instant now)
+{
+    static_cast<void>(now);
+    metrics_report report = metrics_.report(0);
+    report = with(report, [this](metrics_report_fields& fields) {
+        fields.counters["sessions"] = sessions_->size();
+        fields.counters["statements_in_progress"] = dispatcher_->size();
+        fields.counters["member_connections"] = pool_->open_connections();
+        fields.counters["member_connections_opened_total"] = pool_->opened_total();
+        fields.counters["entries_unreadable_total"] = directory_->unreadable_total();
+        fields.counters["configuration_version"] =
+            directory_->configuration() ? (*directory_->configuration())->version : 0;
+    });
+    options_.publish(report);
+}
+
+void gateway_engine::log(log_weight weight, const std::string& event, const std::string& fields)
+{
+    options_.log(log_line{{.weight = weight, .event = event, .fields = fields}}, now_);
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/gateway/gateway_engine.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "caller_session/session_table.h"
+#include "citronfall/instant.h"
+#include "citronfall/metrics_report.h"
+#include "citronfall/peer_order.h"
+#include "citronfall/result.h"
+#include "core/timer_queue.h"
+#include "directory/directory.h"
+#include "dispatch/statement_dispatcher.h"
+#include "event_log/event_log.h"
+#include "gateway/gateway_event.h"
+#include "gateway/gateway_lifecycle.h"
+#include "gateway/gateway_settings.h"
+#include "lead/lead_monitor.h"
+#include "metrics/metrics_table.h"
+#include "mirror/mirror_relay.h"
+#include "mirror/store_mirror.h"
+#include "pool/member_pool.h"
+#include "presence/presence.h"
+#include "takeover/primary_change.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace citronfall {
+
+/// Settings and hooks of a gateway engine. The hooks are called on the decision thread and never wait.
+struct gateway_engine_options {
+    gateway_settings settings;
+    std::uint64_t incarnation = 0; ///< Tells this run of the daemon from others.
+    std::function<void(const caller_reply&)> reply;
+    std::function<void(const member_command&)> member;
+    std::function<void(const store_call&)> store;
+    std::function<void(const peer_order&)> peer;
+    std::function<void(const log_line&, instant)> log;
+    std::function<void(bool)> ready;
+    std::function<void(const metrics_report&)> publish;
+    std::function<void()> reload;
+    std::function<void()> stop;
+    std::function<std::uint64_t(std::uint64_t)> random; ///< A number below its argument.
+    directory_options directory;                        ///< Decoders and keys; `log` is set by the engine.
+    std::string configuration_prefix;
+    std::string own_prefix;
+    std::function<std::string(const daemon_entry&)> encode_daemon;
+    std::function<std::string(const duty_entry&)> encode_duty;
+    std::function<result<log_status>(const std::string&)> read_status;
+};
+
+/// All decisions of a daemon on the users' platform: joins the parts that keep the store's copy, the members, the
+/// leaders, the sessions and the daemon's own life, and passes events between them.
+///
+/// Not thread-safe: owned by the decision thread.
+class gateway_engine {
+public:
+    /// Error (bad_request): a chart does not fit.
+    [[nodiscard]] static result<std::unique_ptr<gateway_engine>> make(gateway_engine_options options);
+
+    /// An event of another thread.
+    void handle(const gateway_event& event, instant now);
+
+    /// Work that is due. To be called when next() is reached and at least every 50 ms.
+    void tick(instant now);
+
+    /// When tick() is wanted next.
+    [[nodiscard]] instant next(instant now) const;
+
+private:
+    explicit gateway_engine(gateway_engine_options options);
+
+    result<done> build();
+    result<done> build_mirrors();
+    result<done> build_pool();
+    result<done> build_sessions();
+    result<done> build_lifecycle();
+
+    void on_event(const caller_event& event, instant now);
+    void on_event(const member_event& event, instant now);
+    void on_event(const store_answer& answer, instant now);
+    void on_event(const peer_event& event, instant now);
+    void on_event(const control_event& event, instant now);
+    void on_message(const std::string& peer, const peer_message& message, instant now);
+    void answer_suspicion(const std::string& peer, const suspicion_query& query, instant now);
+    void heard_of_primary(const primary_notice& notice, instant now);
+    void settle(instant now);
+
+    call_number call_store(call_body body, duration timeout);
+    void item_changed(const store_item& item);
+    void reconfigure(instant now);
+    void add_changes(instant now);
+    void lead_proved(const std::string& service, const std::string& member, const log_position& position,
+                     instant sent_at, instant now);
+    void lead_lost(const std::string& service, const std::string& member, const char* reason, instant now);
+    void member_answered(const std::string& member, const member_reply& reply, instant now);
+    void reach_changed(const std::string& member, member_reach reach, instant now);
+    void tick_services(instant now);
+    void publish_metrics(instant now);
+    result<done> add_change(const std::string& service);
+    [[nodiscard]] peer_question ask_peers(const std::string& service, const std::string& member, term_number term);
+    [[nodiscard]] std::string service_of(const std::string& member) const;
+    [[nodiscard]] member_departure departure_of(const std::string& member) const;
+    void log(log_weight weight, const std::string& event, const std::string& fields);
+
+    gateway_engine_options options_;
+    instant now_{}; ///< Of the event in progress.
+    instant last_tick_{};
+    instant next_metrics_{};
+    timer_queue<std::function<void(instant)>> timers_;
+    std::unique_ptr<directory> directory_;
+    std::vector<std::unique_ptr<store_mirror>> mirrors_;
+    std::unique_ptr<mirror_relay> relay_;
+    std::unique_ptr<presence> presence_;
+    std::unique_ptr<member_pool> pool_;
+    std::unique_ptr<lead_monitor> monitor_;
+    std::unique_ptr<statement_dispatcher> dispatcher_;
+    std::unique_ptr<session_table> sessions_;
+    std::unique_ptr<gateway_lifecycle> lifecycle_;
+    std::map<std::string, service_state> services_;
+    std::set<std::string> used_services_; ///< With a route in the configuration in force.
+    std::map<std::string, std::unique_ptr<primary_change>> changes_;
+    std::set<std::string> peers_;
+    metrics_table metrics_;
+    call_number last_call_ = 0;
+    std::uint64_t last_question_ = 0;
+    bool directory_changed_ = false;
+};
+
+} // namespace citronfall
--- /dev/null
+++ b/src/gateway/gateway_engine_build.cc
@@ -0,0 +1,214 @@
+#include "gateway/gateway_engine.h"
+
+#include "citronfall/answer_table.h"
+
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Length of a watch without events. The connection's keep-alive notices a silent path much sooner.
+constexpr duration watch_wait = std::chrono::seconds(10);
+
+} // namespace
+
+result<done> gateway_engine::build()
+{
+    const auto notable = [this](const std::string& event, const std::string& fields) {
+        log(log_weight::notable, event, fields);
+    };
+    options_.directory.log = notable;
+    directory_ = std::make_unique<directory>(options_.directory);
+    for (const auto& step : {&gateway_engine::build_pool, &gateway_engine::build_mirrors,
+                             &gateway_engine::build_sessions, &gateway_engine::build_lifecycle}) {
+        if (auto built = (this->*step)(); !ok(built)) {
+            return built;
+        }
+    }
+    return done{};
+}
+
+result<done> gateway_engine::build_pool()
+{
+    const auto notable = [this](const std::string& event, const std::string& fields) {
+        log(log_weight::notable, event, fields);
+    };
+    auto pool = member_pool::make(
+        {.send = options_.member,
+         .idle = [this](const std::string& member, instant now) { dispatcher_->pump(service_of(member), now); },
+         .answered = [this](const std::string& member, const member_reply& reply, instant,
+                            instant now) { member_answered(member, reply, now); },
+         .reach_changed = [this](const std::string& member, member_reach reach,
+                                 instant now) { reach_changed(member, reach, now); },
+         .log = notable});
+    if (!ok(pool)) {
+        return error_of(pool);
+    }
+    pool_ = take(std::move(pool));
+    const auto proved = [this](const std::string& service, const std::string& member, const log_position& position,
+                               instant sent_at, instant now) {
+        lead_proved(service, member, position, sent_at, now);
+    };
+    const auto service = [this](const std::string& name) -> service_state& {
+        return services_[name];
+    };
+    monitor_ = std::make_unique<lead_monitor>(
+        lead_monitor_hooks{.service = service,
+                           .lead_proved = proved,
+                           .lead_lost = [this](const std::string& name, const std::string& member, const char* reason,
+                                               instant now) { lead_lost(name, member, reason, now); },
+                           .log = notable},
+        *pool_);
+    auto dispatcher = statement_dispatcher::make(
+        {.finished = [this](const task_request& request, const task_outcome& outcome,
+                            instant now) { sessions_->finished(request, outcome, now); },
+         .service = service,
+         .lead_proved = proved,
+         .lead_refused = [this](const std::string& name, const std::string& member,
+                                instant now) { monitor_->refused(name, member, now); },
+         .connection_lost = [this](connection_number connection,
+                                   instant now) { sessions_->connection_lost(connection, now); },
+         .random = options_.random,
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 log(log_weight::routine, event, fields);
+             }},
+        *pool_, options_.settings->data_center);
+    if (!ok(dispatcher)) {
+        return error_of(dispatcher);
+    }
+    dispatcher_ = take(std::move(dispatcher));
+    return done{};
+}
+
+result<done> gateway_engine::build_mirrors()
+{
+    const auto notable = [this](const std::string& event, const std::string& fields) {
+        log(log_weight::notable, event, fields);
+    };
+    const auto call = [this](call_body body, duration timeout) {
+        return call_store(std::move(body), timeout);
+    };
+    std::vector<store_mirror*> all;
+    for (const std::string& prefix :
+         {options_.configuration_prefix, options_.directory.keys.members, options_.own_prefix}) {
+        auto mirror = store_mirror::make({.prefix = prefix,
+                                          .watch_wait = watch_wait,
+                                          .call = call,
+                                          .changed = [this](const store_item& item) { item_changed(item); },
+                                          .log = notable});
+        if (!ok(mirror)) {
+            return error_of(mirror);
+        }
+        mirrors_.push_back(take(std::move(mirror)));
+        all.push_back(mirrors_.back().get());
+    }
+    relay_ = std::make_unique<mirror_relay>(mirror_relay_options{
+        .mirrors = all,
+        .send = [this](const std::string& peer,
+                       const peer_message& message) { options_.peer(peer_command{{.to = peer, .message = message}}); },
+        .log = notable});
+    const gateway_settings& settings = options_.settings;
+    auto made = presence::make({.self = daemon_entry{{.name = settings->name,
+                                                      .peer_address = settings->peer_listen,
+                                                      .data_center = settings->data_center,
+                                                      .incarnation = options_.incarnation}},
+                                .keys = options_.directory.keys,
+                                .fences_enforced = settings->fences_enforced,
+                                .call = call,
+                                .encode_daemon = options_.encode_daemon,
+                                .encode_duty = options_.encode_duty,
+                                .log = notable},
+                               *directory_);
+    if (!ok(made)) {
+        return error_of(made);
+    }
+    presence_ = take(std::move(made));
+    return done{};
+}
+
+result<done> gateway_engine::build_sessions()
+{
+    auto sessions = session_table::make(
+        {.reply = options_.reply,
+         .find_route = [this](const std::string& database) { return directory_->find_route(database); },
+         .configured = [this] { return directory_->configuration().has_value(); },
+         .submit = [this](const task_request& request, instant now) { return dispatcher_->submit(request, now); },
+         .cancel = [this](task_number task, instant now) { dispatcher_->cancel(task, now); },
+         .release = [this](connection_number connection, instant now) { pool_->release(connection, now); },
+         .answered =
+             [this](const route& policy, const task_outcome& outcome, duration took) {
+                 metrics_.record("request_seconds", policy->service, policy->name, took);
+                 if (outcome->failure) {
+                     metrics_.count("requests_failed_total{kind=\"" +
+                                    std::string(answer_for((*outcome->failure)->kind).name) + "\"}");
+                 } else {
+                     metrics_.count("requests_done_total");
+                 }
+             },
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 const bool usual = event == "request_answered" && fields.find("outcome=done") != std::string::npos;
+                 log(usual ? log_weight::routine : log_weight::notable, event, fields);
+             }});
+    if (!ok(sessions)) {
+        return error_of(sessions);
+    }
+    sessions_ = take(std::move(sessions));
+    return done{};
+}
+
+result<done> gateway_engine::build_lifecycle()
+{
+    auto lifecycle = gateway_lifecycle::make(
+        {.grace = options_.settings->grace,
+         .ready = options_.ready,
+         .leave = [this](instant now) { presence_->leave(now); },
+         .stop = options_.stop,
+         .at = [this](instant due, std::function<void(instant)> call) { timers_.arm(due, std::move(call)); },
+         .random = options_.random,
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 log(log_weight::notable, event, fields);
+             }},
+        *sessions_);
+    if (!ok(lifecycle)) {
+        return error_of(lifecycle);
+    }
+    lifecycle_ = take(std::move(lifecycle));
+    return done{};
+}
+
+result<done> gateway_engine::add_change(const std::string& service)
+{
+    auto change = primary_change::make(
+        {.service = service,
+         .daemon = options_.settings->name,
+         .fence = [this, service](instant now) { return presence_->fence(service, now); },
+         .raise_fence = [this, service](instant now) { presence_->raise_fence(service, now); },
+         .overtaken = [this, service](std::uint64_t fence) { presence_->overtaken(service, fence); },
+         .ask_peers = [this, service](const std::string& member,
+                                      term_number term) { return ask_peers(service, member, term); },
+         .call = [this](call_body body, duration timeout) { return call_store(std::move(body), timeout); },
+         .state = [this, service]() -> service_state& { return services_[service]; },
+         .sync_replicas =
+             [this, service] {
+                 const auto& services = (*directory_->configuration())->services;
+                 const auto found = services.find(service);
+                 return found == services.end() ? 0U : found->second->sync_replicas;
+             },
+         .read_status = options_.read_status,
+         .at = [this](instant due, std::function<void(instant)> call) { timers_.arm(due, std::move(call)); },
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 log(log_weight::notable, event, fields);
+             }},
+        *pool_);
+    if (!ok(change)) {
+        return error_of(change);
+    }
+    changes_[service] = take(std::move(change));
+    return done{};
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/gateway/gateway_lifecycle.cc
@@ -0,0 +1,150 @@
+#include "gateway/gateway_lifecycle.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// The balancer asks once a second and takes a daemon out after two misses. Sessions that are closed before would come
+/// back to this daemon.
+constexpr duration out_of_rotation = std::chrono::milliseconds(1500);
+
+/// What is left of the grace period for the end of the process.
+constexpr duration end_reserve = std::chrono::milliseconds(1000);
+
+/// For the last answers and the end of the lease to leave.
+constexpr duration last_bytes_time = std::chrono::milliseconds(100);
+
+} // namespace
+
+result<std::unique_ptr<gateway_lifecycle>> gateway_lifecycle::make(gateway_lifecycle_options options,
+                                                                   session_table& sessions)
+{
+    std::unique_ptr<gateway_lifecycle> made(new gateway_lifecycle(std::move(options), sessions));
+    if (const auto bound = made->bind(); !ok(bound)) {
+        return error_of(bound);
+    }
+    return made;
+}
+
+result<done> gateway_lifecycle::bind()
+{
+    auto subject = chart::make_embedded("gateway");
+    if (!ok(subject)) {
+        return error_of(subject);
+    }
+    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    if (!ok(made)) {
+        return error_of(made);
+    }
+    program_.emplace(take(std::move(made)));
+    state_ = program_->initial();
+    return done{};
+}
+
+chart_bindings<gateway_lifecycle::context> gateway_lifecycle::bindings()
+{
+    return {
+        .events = {"able", "unable", "terminate", "sessions_gone", "half_due", "end_due", "left_due"},
+        .guards = {},
+        .actions =
+            {
+                {"report_ready",
+                 [](context& each) {
+                     each.lifecycle.options_.ready(true);
+                 }},
+                {"report_unready",
+                 [](context& each) {
+                     each.lifecycle.options_.ready(false);
+                 }},
+                {"start_drain",
+                 [](context& each) {
+                     each.lifecycle.drain_started_ = each.now;
+                     each.lifecycle.options_.log("drain_started",
+                                                 "sessions=" + std::to_string(each.lifecycle.sessions_.size()));
+                     each.lifecycle.options_.leave(each.now);
+                 }},
+                {"end_transactions",
+                 [](context& each) {
+                     gateway_lifecycle& lifecycle = each.lifecycle;
+                     lifecycle.options_.log("drain_half_over",
+                                            "sessions=" + std::to_string(lifecycle.sessions_.size()));
+                 }},
+                {"close_sessions",
+                 [](context& each) {
+                     for (const session_number session : each.lifecycle.sessions_.sessions()) {
+                         each.lifecycle.sessions_.close_now(session, each.now);
+                     }
+                 }},
+                {"stop",
+                 [](context& each) {
+                     each.lifecycle.options_.stop();
+                 }},
+            },
+        .arm_timer = [](context& each, const chart_timer& timer) { each.lifecycle.arm(timer, each.now); },
+    };
+}
+
+void gateway_lifecycle::fire(event what, instant now)
+{
+    context each{.lifecycle = *this, .now = now};
+    const state_id before = state_;
+    state_ = program_->fire(state_, what, each).state;
+    if (before != state_) {
+        options_.log("lifecycle", "from=" + program_->state_name(before) + " to=" + program_->state_name(state_));
+    }
+}
+
+void gateway_lifecycle::arm(const chart_timer& timer, instant now)
+{
+    const std::map<std::string, duration> bounds = {{"half_grace", options_.grace / 2},
+                                                    {"grace", options_.grace / 2 - end_reserve},
+                                                    {"last_bytes", last_bytes_time}};
+    const event due = program_->event(timer->event);
+    options_.at(now + bounds.at(timer->timer), [this, due](instant at) { fire(due, at); });
+}
+
+void gateway_lifecycle::able(bool can_serve, instant now)
+{
+    fire(can_serve ? event::able : event::unable, now);
+}
+
+void gateway_lifecycle::terminate(instant now)
+{
+    fire(event::terminate, now);
+}
+
+void gateway_lifecycle::tick(instant now)
+{
+    if (!drain_started_ || program_->is_final(state_)) {
+        return;
+    }
+    close_due_sessions(now);
+    if (sessions_.size() == 0 && now - *drain_started_ > out_of_rotation) {
+        fire(event::sessions_gone, now);
+    }
+}
+
+/// Closes each session at an instant of its own between the end of the rotation and half of the grace period.
+void gateway_lifecycle::close_due_sessions(instant now)
+{
+    const instant first = *drain_started_ + out_of_rotation;
+    const auto spread = static_cast<std::uint64_t>(
+        std::max<duration>(options_.grace / 2 - out_of_rotation, std::chrono::milliseconds(100)).count());
+    for (const session_number session : sessions_.sessions()) {
+        const auto [place, added] = close_at_.try_emplace(session);
+        if (added) {
+            place->second = first + duration(static_cast<duration::rep>(options_.random(spread)));
+        }
+        if (now >= place->second) {
+            sessions_.close_when_idle(session, now);
+        }
+        const bool half_over = now - *drain_started_ > options_.grace / 2;
+        if (half_over && sessions_.busy(session) && !sessions_.owes_answer(session)) {
+            sessions_.close_now(session, now); // Idle inside a transaction whose time is over.
+        }
+    }
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/gateway/probe_server.cc
@@ -0,0 +1,137 @@
+#include "gateway/probe_server.h"
+
+#include "core/endpoint_address.h"
+#include "metrics/metrics_text.h"
+
+#include <atomic>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <pistache/endpoint.h>
+
+namespace citronfall {
+namespace {
+
+namespace http = Pistache::Http;
+
+/// What the answers are made of; written by the daemon, read by Pistache's threads.
+struct probe_state {
+    std::atomic<bool> ready{false};
+    std::mutex mutex;
+    metrics_report report;
+    std::string ready_path;
+    std::string metrics_path;
+};
+
+class probe_handler : public http::Handler {
+public:
+    HTTP_PROTOTYPE(probe_handler)
+
+    explicit probe_handler(std::shared_ptr<probe_state> state) : state_(std::move(state)) {}
+
+    void onRequest(const http::Request& request, http::ResponseWriter response) override
+    {
+        if (request.resource() == state_->ready_path) {
+            response.send(state_->ready ? http::Code::Ok : http::Code::Service_Unavailable);
+        } else if (request.resource() == state_->metrics_path) {
+            response.send(http::Code::Ok, text());
+        } else {
+            response.send(http::Code::Not_Found);
+        }
+    }
+
+private:
+    std::string text()
+    {
+        const std::lock_guard lock(state_->mutex);
+        return metrics_text(state_->report);
+    }
+
+    std::shared_ptr<probe_state> state_;
+};
+
+} // namespace
+
+class probe_server::parts {
+public:
+    explicit parts(probe_server_options options) : options_(std::move(options)), state_(std::make_shared<probe_state>())
+    {
+        state_->ready_path = options_.ready_path;
+        state_->metrics_path = options_.metrics_path;
+    }
+
+    result<done> start()
+    {
+        std::vector<std::string> addresses{options_.address};
+        if (!options_.metrics_address.empty()) {
+            addresses.push_back(options_.metrics_address);
+        }
+        for (const std::string& address : addresses) {
+            if (auto started = start_at(address); !ok(started)) {
+                return started;
+            }
+        }
+        return done{};
+    }
+
+    void stop()
+    {
+        for (const auto& each : endpoints_) {
+            each->shutdown();
+        }
+    }
+
+    probe_state& state() { return *state_; }
+
+private:
+    result<done> start_at(const std::string& address)
+    {
+        const auto read = endpoint_address::make(address);
+        if (!ok(read)) {
+            return error_of(read);
+        }
+        try {
+            const Pistache::Address target(value_of(read)->host, Pistache::Port(value_of(read)->port));
+            auto endpoint = std::make_unique<http::Endpoint>(target);
+            endpoint->init(http::Endpoint::options().threads(1).flags(Pistache::Tcp::Options::ReuseAddr));
+            endpoint->setHandler(http::make_handler<probe_handler>(state_));
+            endpoint->serveThreaded();
+            endpoints_.push_back(std::move(endpoint));
+        } catch (const std::exception& problem) {
+            return error{{.kind = error_kind::bad_request, .detail = address + ": " + problem.what()}};
+        }
+        return done{};
+    }
+
+    probe_server_options options_;
+    std::shared_ptr<probe_state> state_;
+    std::vector<std::unique_ptr<http::Endpoint>> endpoints_;
+};
+
+probe_server::probe_server(probe_server_options options) : parts_(std::make_unique<parts>(std::move(options))) {}
+
+probe_server::~probe_server() = default;
+
+result<done> probe_server::start()
+{
+    return parts_->start();
+}
+
+void probe_server::set_ready(bool ready)
+{
+    parts_->state().ready = ready;
+}
+
+void probe_server::publish(const metrics_report& report)
+{
+    const std::lock_guard lock(parts_->state().mutex);
+    parts_->state().report = report;
+}
+
+void probe_server::stop()
+{
+    parts_->stop();
+}
+
+} // namespace citronfall
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,8 +1,8 @@
 #include "http/http_client.h"
 
 #include "core/endpoint_address.h"
+#include "http/http_message.h"
 
-#include <cctype>
 #include <optional>
 #include <utility>
 
@@ -21,33 +21,6 @@
 /// Values of the platform are at most 1 MB; JSON quoting can nearly double them.
 constexpr std::uint64_t max_reply_size = 4 * 1024 * 1024;
 
-http::request<http::string_body> encode(const http_request& request, const std::string& host)
-{
-    http::request<http::string_body> message(http::string_to_verb(request->method), request->target, 11);
-    message.set(http::field::host, host);
-    message.set(http::field::connection, "keep-alive");
-    message.set(http::field::content_type, "application/json");
-    for (const auto& [name, value] : request->headers) {
-        message.set(name, value);
-    }
-    message.body() = request->body;
-    message.prepare_payload();
-    return message;
-}
-
-http_reply decode(http::response<http::string_body>& message)
-{
-    http_reply_fields fields{.status = static_cast<int>(message.result_int()), .body = std::move(message.body())};
-    for (const auto& header : message) {
-        std::string name(header.name_string());
-        for (char& c : name) {
-            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-        }
-        fields.headers[name] = std::string(header.value());
-    }
-    return http_reply{std::move(fields)};
-}
-
 } // namespace
 
 class http_client::parts {
@@ -100,7 +73,7 @@
     if (!connect(deadline)) {
         return error{{.kind = error_kind::connect_failed, .detail = "cannot connect to " + address_.text()}};
     }
-    auto message = encode(request, address_.text());
+    auto message = http_message(request, address_.text());
     stream_->expires_at(deadline);
     beast::error_code problem;
     beast::flat_buffer buffer;
@@ -123,7 +96,7 @@
     if (!reply.keep_alive()) {
         stream_.reset();
     }
-    return decode(reply);
+    return http_reply_of(reply);
 }
 
 result<http_client> http_client::make(const http_client_options& options)
--- a/src/platform/group_record_codec.cc
+++ b/src/kv_service/group_record_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/group_record_codec.h"
+#include "kv_service/group_record_codec.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/http_platform.cc
+++ b/src/kv_service/http_platform.cc
@@ -1,4 +1,4 @@
-#include "platform/http_platform.h"
+#include "kv_service/http_platform.h"
 
 #include "http/http_client.h"
 
--- a/src/platform/share_ledger_codec.cc
+++ b/src/kv_service/share_ledger_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/share_ledger_codec.h"
+#include "kv_service/share_ledger_codec.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/src/lead/lead_monitor.cc
@@ -0,0 +1,141 @@
+#include "lead/lead_monitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// A leader that answered nothing for this long is probed. Bounds how old the evidence for replica reads gets, and how
+/// late a silent leader is noticed without traffic.
+constexpr duration idle_limit = std::chrono::milliseconds(500);
+
+/// A statement without an answer for this long, while the leader answers nothing else, is reason to probe it: most
+/// statements take a few tens of milliseconds.
+constexpr duration answer_limit = std::chrono::milliseconds(200);
+
+/// A live member answers a probe within a round trip; this leaves room for a busy instance.
+constexpr duration probe_timeout = std::chrono::milliseconds(300);
+
+/// Between two probes of one member while no leader is known.
+constexpr duration search_interval = std::chrono::milliseconds(40);
+
+} // namespace
+
+void lead_monitor::tick(const std::set<std::string>& services, instant now)
+{
+    for (auto& [member, state] : probes_) {
+        judge(member, state, now);
+    }
+    for (const std::string& service : services) {
+        const auto leader = hooks_.service(service).lead.leader();
+        if (leader) {
+            watch_leader(service, *leader, now);
+        } else {
+            search(service, now);
+        }
+    }
+}
+
+void lead_monitor::judge(const std::string& member, probe_state& state, instant now)
+{
+    if (state.connection == 0) {
+        return;
+    }
+    const instant since = std::max(state.sent_at, judged_from_);
+    if (now - since < probe_timeout) {
+        return;
+    }
+    const connection_number connection = std::exchange(state.connection, 0);
+    hooks_.log("probe_unanswered",
+               "member=" + member + " sent_ms_ago=" + std::to_string((now - state.sent_at).count() / 1000));
+    pool_.discard(connection, now);
+    pool_.unanswered(member, state.sent_at, now);
+}
+
+void lead_monitor::watch_leader(const std::string& service, const std::string& leader, instant now)
+{
+    const pooled_member* member = pool_.member(leader);
+    if (member == nullptr) {
+        if (hooks_.service(service).lead.lost(leader, now)) {
+            hooks_.lead_lost(service, leader, "not_listed", now);
+        }
+        return;
+    }
+    const auto answered_at = member->health.answered_at();
+    const bool idle = !answered_at || now - *answered_at > idle_limit;
+    const auto oldest = pool_.oldest_exchange(leader);
+    const bool overdue = oldest && now - std::max(*oldest, judged_from_) > answer_limit &&
+                         (!answered_at || now - *answered_at > answer_limit);
+    const auto evidence = hooks_.service(service).evidence.newest();
+    const bool evidence_old = !evidence || now - *evidence > idle_limit;
+    if (idle || overdue || evidence_old) {
+        probe(service, leader, now);
+    }
+}
+
+void lead_monitor::search(const std::string& service, instant now)
+{
+    for (const std::string& member : pool_.members_of(service)) {
+        if (now >= probes_[member].next) {
+            probe(service, member, now);
+        }
+    }
+}
+
+void lead_monitor::probe(const std::string& service, const std::string& member, instant now)
+{
+    probe_state& state = probes_[member];
+    if (state.connection != 0) {
+        return;
+    }
+    const connection_number connection = pool_.acquire(member, {.lost = {}}, now);
+    if (connection == 0) {
+        return;
+    }
+    state.connection = connection;
+    state.sent_at = now;
+    state.next = now + search_interval;
+    pool_.send_own(
+        connection, {begin_leading{}},
+        [this, service, member](const exchange_outcome& outcome, instant at) {
+            answered(service, member, outcome, at);
+        },
+        now);
+}
+
+void lead_monitor::answered(const std::string& service, const std::string& member, const exchange_outcome& outcome,
+                            instant now)
+{
+    probe_state& state = probes_[member];
+    const connection_number connection = std::exchange(state.connection, 0);
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply == nullptr) {
+        return;
+    }
+    pool_.release(connection, now);
+    if ((*reply)->failure) {
+        if ((*(*reply)->failure)->kind == error_kind::not_primary) {
+            refused(service, member, now);
+        }
+    } else if ((*reply)->position) {
+        hooks_.lead_proved(service, member, *(*reply)->position, state.sent_at, now);
+    }
+}
+
+void lead_monitor::refused(const std::string& service, const std::string& member, instant now)
+{
+    if (hooks_.service(service).lead.lost(member, now)) {
+        hooks_.lead_lost(service, member, "refused", now);
+    }
+}
+
+void lead_monitor::reach_changed(const std::string& service, const std::string& member, member_reach reach, instant now)
+{
+    const bool gone = reach == member_reach::silent || reach == member_reach::down;
+    if (gone && hooks_.service(service).lead.lost(member, now)) {
+        hooks_.lead_lost(service, member, member_reach_name(reach), now);
+    }
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/mirror/mirror_relay.cc
@@ -0,0 +1,89 @@
+#include "mirror/mirror_relay.h"
+
+#include <algorithm>
+
+namespace citronfall {
+namespace {
+
+/// Between two digests to the peers. With the time to ask and answer it bounds how much later a daemon without the
+/// store learns of a change.
+constexpr duration digest_interval = std::chrono::milliseconds(700);
+
+/// The store's own watch usually tells a change sooner than a peer's digest; only a daemon that is still behind after
+/// this time asks the peer.
+constexpr duration watch_head_start = std::chrono::milliseconds(300);
+
+} // namespace
+
+store_digest mirror_relay::digest() const
+{
+    store_digest_fields fields;
+    fields.store_live = true;
+    for (const store_mirror* each : options_.mirrors) {
+        fields.changed_at.push_back(each->table().changed_at());
+        fields.store_live = fields.store_live && each->live();
+    }
+    return store_digest{std::move(fields)};
+}
+
+void mirror_relay::tick(instant now)
+{
+    if (now < next_digest_) {
+        return;
+    }
+    next_digest_ = now + digest_interval;
+    options_.send("", digest());
+}
+
+void mirror_relay::connected(const std::string& peer)
+{
+    peers_[peer] = {};
+    options_.send(peer, digest());
+}
+
+void mirror_relay::handle(const std::string& peer, const store_digest& digest, instant now)
+{
+    peers_[peer].store_live = digest->store_live;
+    const std::size_t ranges = std::min(digest->changed_at.size(), options_.mirrors.size());
+    for (std::size_t i = 0; i < ranges; ++i) {
+        const store_mirror& mirror = *options_.mirrors[i];
+        const kv_revision known = mirror.table().changed_at();
+        if (digest->changed_at[i] <= known) {
+            behind_since_.erase(i);
+            continue;
+        }
+        const instant since = behind_since_.try_emplace(i, now).first->second;
+        if (!mirror.live() || now - since >= watch_head_start) {
+            options_.log("peer_changes_requested", "peer=" + peer + " prefix=" + mirror.prefix() +
+                                                       " known=" + std::to_string(known) +
+                                                       " offered=" + std::to_string(digest->changed_at[i]));
+            options_.send(peer, store_request{{.range = static_cast<std::uint8_t>(i), .after = known}});
+        }
+    }
+}
+
+void mirror_relay::handle(const std::string& peer, const store_request& request)
+{
+    if (request->range >= options_.mirrors.size()) {
+        return;
+    }
+    const mirror_table& table = options_.mirrors[request->range]->table();
+    options_.send(peer, store_changes{{.range = request->range, .items = table.changes_after(request->after)}});
+}
+
+void mirror_relay::handle(const std::string& peer, const store_changes& changes)
+{
+    if (changes->range >= options_.mirrors.size()) {
+        return;
+    }
+    options_.log("peer_changes", "peer=" + peer + " prefix=" + options_.mirrors[changes->range]->prefix() +
+                                     " items=" + std::to_string(changes->items.size()));
+    options_.mirrors[changes->range]->heard(changes->items);
+}
+
+bool mirror_relay::peer_hears_store() const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [](const auto& each) { return each.second.store_live; });
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/mirror/mirror_relay.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "citronfall/instant.h"
+#include "citronfall/peer_message.h"
+#include "mirror/store_mirror.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace citronfall {
+
+/// Hooks of a mirror relay; called on the decision thread.
+struct mirror_relay_options {
+    std::vector<store_mirror*> mirrors;                                ///< In the same order on all daemons.
+    std::function<void(const std::string&, const peer_message&)> send; ///< To one peer; an empty name means all.
+    std::function<void(const std::string&, const std::string&)> log;   ///< Event and its fields.
+};
+
+/// Passes changes of the store on between daemons, so that a daemon that the store turns away still learns of them.
+///
+/// Each second a daemon tells its peers how new its copies are; one that is behind although the store had time to tell
+/// it asks for what it missed. Not thread-safe: owned by the decision thread.
+class mirror_relay {
+public:
+    explicit mirror_relay(mirror_relay_options options) : options_(std::move(options)) {}
+
+    /// Sends digests when they are due. To be called every few tens of milliseconds.
+    void tick(instant now);
+
+    /// A peer connected.
+    void connected(const std::string& peer);
+
+    /// A peer's connection ended.
+    void disconnected(const std::string& peer) { peers_.erase(peer); }
+
+    void handle(const std::string& peer, const store_digest& digest, instant now);
+    void handle(const std::string& peer, const store_request& request);
+    void handle(const std::string& peer, const store_changes& changes);
+
+    /// Whether a connected peer says that it hears from the store.
+    [[nodiscard]] bool peer_hears_store() const;
+
+private:
+    struct peer_state {
+        bool store_live = false;
+    };
+
+    [[nodiscard]] store_digest digest() const;
+
+    mirror_relay_options options_;
+    std::map<std::string, peer_state> peers_;
+    std::map<std::size_t, instant> behind_since_; ///< By range.
+    instant next_digest_{};
+};
+
+} // namespace citronfall
--- /dev/null
+++ b/src/mirror/store_mirror.cc
@@ -0,0 +1,191 @@
+#include "mirror/store_mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Bound of one page read; a slow store answers in a quarter of a second.
+constexpr duration read_timeout = std::chrono::milliseconds(1500);
+
+/// What a watch may take beyond its own wait.
+constexpr duration watch_slack = std::chrono::milliseconds(1500);
+
+/// Pause after a call that failed. All daemons together stay far below the store's rates.
+constexpr duration failure_pause = std::chrono::milliseconds(250);
+
+/// Pause after a watch that told of changes: further changes of the same moment then arrive with one call, which the
+/// platform prices.
+constexpr duration gather_pause = std::chrono::milliseconds(50);
+
+} // namespace
+
+store_mirror::store_mirror(store_mirror_options options)
+    : options_(std::move(options)), table_([this](const store_item& item) { options_.changed(item); })
+{
+}
+
+result<std::unique_ptr<store_mirror>> store_mirror::make(store_mirror_options options)
+{
+    std::unique_ptr<store_mirror> mirror(new store_mirror(std::move(options)));
+    if (const auto bound = mirror->bind(); !ok(bound)) {
+        return error_of(bound);
+    }
+    return mirror;
+}
+
+result<done> store_mirror::bind()
+{
+    auto subject = chart::make_embedded("store_mirror");
+    if (!ok(subject)) {
+        return error_of(subject);
+    }
+    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    if (!ok(made)) {
+        return error_of(made);
+    }
+    program_.emplace(take(std::move(made)));
+    state_ = program_->initial();
+    return done{};
+}
+
+chart_bindings<store_mirror::context> store_mirror::bindings()
+{
+    return {
+        .events = {"due", "page_read", "changed", "history_gone", "failed"},
+        .guards = {{"more_pages",
+                    [](const context& each) {
+                        return (*each.answer)->more_pages && !(*each.answer)->items.empty();
+                    }}},
+        .actions = {
+            {"start_snapshot",
+             [](context& each) {
+                 each.mirror.page_items_.clear();
+                 each.mirror.snapshot_revision_ = 0;
+             }},
+            {"read_page",
+             [](context& each) {
+                 each.mirror.read_page();
+             }},
+            {"add_page",
+             [](context& each) {
+                 each.mirror.add_page(*each.answer);
+             }},
+            {"apply_snapshot",
+             [](context& each) {
+                 store_mirror& mirror = each.mirror;
+                 mirror.table_.apply_snapshot(std::exchange(mirror.page_items_, {}), mirror.snapshot_revision_);
+                 mirror.watched_after_ = mirror.snapshot_revision_;
+                 mirror.options_.log("store_range_read", "prefix=" + mirror.options_.prefix +
+                                                             " items=" + std::to_string(mirror.table_.items().size()) +
+                                                             " revision=" + std::to_string(mirror.snapshot_revision_));
+             }},
+            {"apply_changes",
+             [](context& each) {
+                 for (const store_item& item : (*each.answer)->items) {
+                     each.mirror.table_.apply(item);
+                 }
+                 each.mirror.watched_after_ = std::max(each.mirror.watched_after_, (*each.answer)->revision);
+             }},
+            {"pause_shortly",
+             [](context& each) {
+                 each.mirror.next_attempt_ = each.now + gather_pause;
+             }},
+            {"start_watch",
+             [](context& each) {
+                 each.mirror.start_watch();
+             }},
+            {"note_gap",
+             [](context& each) {
+                 each.mirror.options_.log("store_history_gone", "prefix=" + each.mirror.options_.prefix + " after=" +
+                                                                    std::to_string(each.mirror.watched_after_));
+             }},
+            {"note_failure",
+             [](context& each) {
+                 each.mirror.note_failure(*each.answer, each.now);
+             }},
+        }};
+}
+
+void store_mirror::fire(event what, const store_answer* answer, instant now)
+{
+    context each{.mirror = *this, .answer = answer, .now = now};
+    state_ = program_->fire(state_, what, each).state;
+}
+
+void store_mirror::tick(instant now)
+{
+    if (pending_ == 0 && now >= next_attempt_) {
+        fire(event::due, nullptr, now);
+    }
+}
+
+store_mirror::event store_mirror::event_of(const store_answer& answer) const
+{
+    if (answer->outcome == call_outcome::history_gone) {
+        return event::history_gone;
+    }
+    if (answer->outcome != call_outcome::done) {
+        return event::failed;
+    }
+    return program_->handles(state_, event::page_read) ? event::page_read : event::changed;
+}
+
+bool store_mirror::handle(const store_answer& answer, instant now)
+{
+    if (pending_ == 0 || answer->number != pending_) {
+        return false;
+    }
+    pending_ = 0;
+    const event what = event_of(answer);
+    if (what != event::failed) {
+        if (!live_ && failed_at_) {
+            options_.log("store_regained", "prefix=" + options_.prefix);
+        }
+        live_ = live_ || what == event::changed || (what == event::page_read && !answer->more_pages);
+    }
+    fire(what, &answer, now);
+    return true;
+}
+
+void store_mirror::heard(const std::vector<store_item>& items)
+{
+    for (const store_item& each : items) {
+        table_.apply(each);
+    }
+}
+
+void store_mirror::read_page()
+{
+    const std::string after = page_items_.empty() ? std::string{} : page_items_.back()->key;
+    pending_ = options_.call(read_range{{.prefix = options_.prefix, .after_key = after}}, read_timeout);
+}
+
+void store_mirror::add_page(const store_answer& page)
+{
+    if (snapshot_revision_ == 0) {
+        snapshot_revision_ = page->revision;
+    }
+    page_items_.insert(page_items_.end(), page->items.begin(), page->items.end());
+}
+
+void store_mirror::start_watch()
+{
+    pending_ =
+        options_.call(watch_range{{.prefix = options_.prefix, .after = watched_after_, .wait = options_.watch_wait}},
+                      options_.watch_wait + watch_slack);
+}
+
+void store_mirror::note_failure(const store_answer& answer, instant now)
+{
+    if (live_ || !failed_at_) {
+        options_.log("store_lost", "prefix=" + options_.prefix + " outcome=" + call_outcome_name(answer->outcome) +
+                                       " reason=\"" + answer->detail + "\"");
+    }
+    live_ = false;
+    failed_at_ = now;
+    next_attempt_ = now + failure_pause;
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/mirror/store_mirror.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "citronfall/chart_program.h"
+#include "citronfall/instant.h"
+#include "citronfall/result.h"
+#include "mirror/mirror_table.h"
+#include "mirror/store_answer.h"
+#include "mirror/store_call.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronfall {
+
+/// Settings and hooks of a mirror. The hooks are called on the decision thread.
+struct store_mirror_options {
+    std::string prefix;
+    duration watch_wait{}; ///< Length of a watch without events.
+    std::function<call_number(call_body, duration timeout)> call;
+    mirror_table::changed_hook changed;
+    std::function<void(const std::string&, const std::string&)> log; ///< Event and its fields.
+};
+
+/// Keeps a copy of one prefix of the store by reading it once and watching it from then on (chart `store_mirror`).
+///
+/// A change that is missed because the store dropped its history is found by reading again. Not thread-safe: owned by
+/// the decision thread.
+class store_mirror {
+public:
+    /// Error (bad_request): the chart does not fit.
+    [[nodiscard]] static result<std::unique_ptr<store_mirror>> make(store_mirror_options options);
+
+    /// Starts reading and watching when it is time. To be called every few tens of milliseconds.
+    void tick(instant now);
+
+    /// An answer of the platform; ignored unless it belongs to this mirror. Returns whether it did.
+    bool handle(const store_answer& answer, instant now);
+
+    /// Changes told by a peer.
+    void heard(const std::vector<store_item>& items);
+
+    /// The copy.
+    [[nodiscard]] const mirror_table& table() const { return table_; }
+
+    /// Whether the store answered the last call, and the first reading is complete.
+    [[nodiscard]] bool live() const { return live_; }
+
+    /// When a call last failed; nothing if none did.
+    [[nodiscard]] std::optional<instant> failed_at() const { return failed_at_; }
+
+    /// The prefix.
+    [[nodiscard]] const std::string& prefix() const { return options_.prefix; }
+
+private:
+    enum class event : std::uint8_t { due, page_read, changed, history_gone, failed };
+    struct context {
+        store_mirror& mirror;
+        const store_answer* answer;
+        instant now;
+    };
+
+    explicit store_mirror(store_mirror_options options);
+
+    result<done> bind();
+    static chart_bindings<context> bindings();
+    void fire(event what, const store_answer* answer, instant now);
+    void read_page();
+    void add_page(const store_answer& page);
+    void start_watch();
+    void note_failure(const store_answer& answer, instant now);
+    [[nodiscard]] event event_of(const store_answer& answer) const;
+
+    store_mirror_options options_;
+    mirror_table table_;
+    std::optional<chart_program<event, context>> program_;
+    state_id state_{};
+    call_number pending_ = 0;
+    instant next_attempt_{};
+    std::vector<store_item> page_items_;
+    kv_revision snapshot_revision_ = 0; ///< Of the first page: changes after it are watched.
+    kv_revision watched_after_ = 0;
+    bool live_ = false;
+    std::optional<instant> failed_at_;
+};
+
+} // namespace citronfall
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -91,6 +91,35 @@
     return {wire::body::share_ack, wire::Createshare_ack(out, value->number, value->accepted).Union()};
 }
 
+encoded_body encode_body(builder& out, const store_digest& value)
+{
+    return {wire::body::store_digest,
+            wire::Createstore_digestDirect(out, &value->changed_at, value->store_live).Union()};
+}
+
+encoded_body encode_body(builder& out, const store_request& value)
+{
+    return {wire::body::store_request, wire::Createstore_request(out, value->range, value->after).Union()};
+}
+
+encoded_body encode_body(builder& out, const store_changes& value)
+{
+    std::vector<flatbuffers::Offset<wire::store_item>> items;
+    for (const store_item& each : value->items) {
+        const auto bytes =
+            out.CreateVector(reinterpret_cast<const std::uint8_t*>(each->value.data()), each->value.size());
+        items.push_back(wire::Createstore_item(out, out.CreateString(each->key), bytes, each->revision, each->lease,
+                                               each->deleted));
+    }
+    return {wire::body::store_changes, wire::Createstore_changesDirect(out, value->range, &items).Union()};
+}
+
+encoded_body encode_body(builder& out, const primary_notice& value)
+{
+    return {wire::body::primary_notice,
+            wire::Createprimary_noticeDirect(out, value->service.c_str(), value->member.c_str(), value->term).Union()};
+}
+
 std::string text(const flatbuffers::String* source)
 {
     return source == nullptr ? std::string{} : source->str();
@@ -145,6 +174,30 @@
     return section_update{std::move(fields)};
 }
 
+peer_message read_store_digest(const wire::store_digest& source)
+{
+    store_digest_fields fields{.store_live = source.store_live()};
+    for (flatbuffers::uoffset_t i = 0; source.changed_at() != nullptr && i < source.changed_at()->size(); ++i) {
+        fields.changed_at.push_back(source.changed_at()->Get(i));
+    }
+    return store_digest{std::move(fields)};
+}
+
+peer_message read_store_changes(const wire::store_changes& source)
+{
+    store_changes_fields fields{.range = source.range()};
+    for (flatbuffers::uoffset_t i = 0; source.items() != nullptr && i < source.items()->size(); ++i) {
+        const auto* each = source.items()->Get(i);
+        store_item_fields item{
+            .key = text(each->key()), .revision = each->revision(), .lease = each->lease(), .deleted = each->deleted()};
+        if (each->value() != nullptr) {
+            item.value.assign(each->value()->begin(), each->value()->end());
+        }
+        fields.items.push_back(store_item{std::move(item)});
+    }
+    return store_changes{std::move(fields)};
+}
+
 peer_message read_hello(const wire::hello& source)
 {
     return peer_hello{{.daemon = text(source.daemon()),
@@ -190,6 +243,19 @@
         const auto* ack = source.body_as_share_ack();
         return share_ack{{.number = ack->number(), .accepted = ack->accepted()}};
     }
+    case wire::body::store_digest:
+        return read_store_digest(*source.body_as_store_digest());
+    case wire::body::store_request: {
+        const auto* request = source.body_as_store_request();
+        return store_request{{.range = request->range(), .after = request->after()}};
+    }
+    case wire::body::store_changes:
+        return read_store_changes(*source.body_as_store_changes());
+    case wire::body::primary_notice: {
+        const auto* notice = source.body_as_primary_notice();
+        return primary_notice{
+            {.service = text(notice->service()), .member = text(notice->member()), .term = notice->term()}};
+    }
     case wire::body::NONE:
         break;
     }
--- /dev/null
+++ b/src/pool/connection_budget.cc
@@ -0,0 +1,50 @@
+#include "pool/connection_budget.h"
+
+#include <algorithm>
+
+namespace citronfall {
+namespace {
+
+/// Part of a member's limit that is shared out; the rest serves daemons that start and those that borrow.
+constexpr double shared_part = 0.9;
+
+/// A daemon holds at most this many times its fair share, so that one daemon's crest does not lock the others out.
+constexpr std::size_t borrow_factor = 2;
+
+/// Connections opened at the same time: each occupies a slot of the member while it is set up.
+constexpr std::size_t max_opening = 2;
+
+/// Pause after a refusal for lack of room; borrowed connections return within `borrowed_idle`.
+constexpr duration refusal_pause = std::chrono::milliseconds(500);
+
+/// Idle time after which a borrowed connection is closed. Shorter times open and close connections with each wave.
+constexpr duration borrowed_idle = std::chrono::seconds(2);
+
+} // namespace
+
+std::size_t fair_share(std::uint32_t limit, std::size_t daemons)
+{
+    const double part = limit * shared_part / static_cast<double>(std::max<std::size_t>(daemons, 1));
+    return std::max<std::size_t>(static_cast<std::size_t>(part), 1);
+}
+
+bool may_open(const connection_demand& demand, instant now)
+{
+    if (demand.opening >= max_opening) {
+        return false;
+    }
+    if (demand.refused_at && now - *demand.refused_at < refusal_pause) {
+        return false;
+    }
+    if (demand.open == 0) {
+        return true;
+    }
+    return demand.waiting > demand.opening && demand.open < borrow_factor * fair_share(demand.limit, demand.daemons);
+}
+
+bool should_close(const connection_demand& demand, instant idle_since, instant now)
+{
+    return demand.open > fair_share(demand.limit, demand.daemons) && now - idle_since > borrowed_idle;
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/pool/log_status.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "citronfall/immutable.h"
+#include "citronfall/log_position.h"
+
+namespace citronfall {
+
+/// Fields of a status.
+struct log_status_fields {
+    bool leads = false;
+    term_number term = 0;
+    log_position received; ///< Last entry that the member received; what it would lead with.
+
+    friend auto operator<=>(const log_status_fields&, const log_status_fields&) = default;
+};
+
+/// What a member says of its role and its log.
+using log_status = immutable<log_status_fields>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/pool/member_command.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "citronfall/ids.h"
+#include "citronfall/immutable.h"
+#include "pool/member_statement.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citronfall {
+
+/// Fields of a connection attempt.
+struct open_member_fields {
+    connection_number connection = 0;
+    std::string address; ///< "ip:port"
+    std::string service;
+    std::string member; ///< Expected id; another member at the address refuses the connection.
+
+    friend auto operator<=>(const open_member_fields&, const open_member_fields&) = default;
+};
+
+/// Opens a connection to a member.
+using open_member = immutable<open_member_fields>;
+
+/// Fields of one statement for a member.
+struct member_query_fields {
+    std::string request_id; ///< Of the caller; empty for statements of the daemon itself.
+    member_statement body;
+
+    friend auto operator<=>(const member_query_fields&, const member_query_fields&) = default;
+};
+
+/// One statement for a member.
+using member_query = immutable<member_query_fields>;
+
+/// Fields of a batch of statements.
+struct send_queries_fields {
+    connection_number connection = 0;
+    std::vector<member_query> queries;
+
+    friend auto operator<=>(const send_queries_fields&, const send_queries_fields&) = default;
+};
+
+/// Sends statements in one write; the member answers each in order.
+using send_queries = immutable<send_queries_fields>;
+
+/// Fields of a close.
+struct close_member_fields {
+    connection_number connection = 0;
+
+    friend auto operator<=>(const close_member_fields&, const close_member_fields&) = default;
+};
+
+/// Closes a connection. No event follows.
+using close_member = immutable<close_member_fields>;
+
+/// Messages of the decision thread to the member thread.
+using member_command = std::variant<open_member, send_queries, close_member>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/pool/member_event.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "citronfall/error.h"
+#include "citronfall/ids.h"
+#include "citronfall/immutable.h"
+#include "citronfall/log_position.h"
+#include "statement/transaction_state.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citronfall {
+
+/// Fields of an opened connection.
+struct member_opened_fields {
+    connection_number connection = 0;
+
+    friend auto operator<=>(const member_opened_fields&, const member_opened_fields&) = default;
+};
+
+/// A member accepted a connection.
+using member_opened = immutable<member_opened_fields>;
+
+/// Fields of a member's answer.
+struct member_reply_fields {
+    connection_number connection = 0;
+    std::vector<std::string> rows;
+    std::string receipt;
+    std::optional<error> failure;
+    transaction_state state = transaction_state::none;
+    std::optional<log_position> position; ///< Of the member's log when it answered.
+
+    friend auto operator<=>(const member_reply_fields&, const member_reply_fields&) = default;
+};
+
+/// The whole answer of a member to one statement.
+using member_reply = immutable<member_reply_fields>;
+
+/// Why a connection to a member ended.
+enum class connection_end {
+    refused,        ///< The instance answered, and nothing listens at the address: the member is down.
+    rejected,       ///< The member answered with an error to the start of the session.
+    no_answer,      ///< No connection within the connect timeout.
+    reset,          ///< The member or the instance closed an established connection.
+    silent,         ///< Sent bytes were not acknowledged, or keep-alive probes were not answered.
+    protocol_error, ///< The member sent something that is no answer.
+};
+
+/// Name for logs and counters. Thread-safe.
+[[nodiscard]] constexpr const char* connection_end_name(connection_end end)
+{
+    switch (end) {
+    case connection_end::refused:
+        return "refused";
+    case connection_end::rejected:
+        return "rejected";
+    case connection_end::no_answer:
+        return "no_answer";
+    case connection_end::reset:
+        return "reset";
+    case connection_end::silent:
+        return "silent";
+    case connection_end::protocol_error:
+        break;
+    }
+    return "protocol_error";
+}
+
+/// Fields of a connection's end.
+struct member_closed_fields {
+    connection_number connection = 0;
+    connection_end end = connection_end::reset;
+    std::optional<error> failure; ///< Of a rejected connection.
+
+    friend auto operator<=>(const member_closed_fields&, const member_closed_fields&) = default;
+};
+
+/// A connection to a member ended or could not be opened.
+using member_closed = immutable<member_closed_fields>;
+
+/// Messages of the member thread to the decision thread.
+using member_event = std::variant<member_opened, member_reply, member_closed>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/pool/member_pool.cc
@@ -0,0 +1,325 @@
+#include "pool/member_pool.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace citronfall {
+result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks)
+{
+    std::unique_ptr<member_pool> pool(new member_pool(std::move(hooks)));
+    if (const auto bound = pool->bind(); !ok(bound)) {
+        return error_of(bound);
+    }
+    return pool;
+}
+
+result<done> member_pool::bind()
+{
+    auto subject = chart::make_embedded("member_connection");
+    if (!ok(subject)) {
+        return error_of(subject);
+    }
+    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    if (!ok(made)) {
+        return error_of(made);
+    }
+    program_.emplace(take(std::move(made)));
+    return done{};
+}
+
+chart_bindings<member_pool::context> member_pool::bindings()
+{
+    return {.events = {"opened", "acquire", "release", "rolled_back", "ended", "discard"},
+            .guards = {{"in_transaction",
+                        [](const context& each) {
+                            return each.subject.transaction != transaction_state::none;
+                        }}},
+            .actions = {
+                {"make_idle",
+                 [](context& each) {
+                     each.pool.make_idle(each.subject, each.now);
+                 }},
+                {"leave_idle",
+                 [](context& each) {
+                     each.pool.members_.at(each.subject.member).idle.erase(each.subject.number);
+                 }},
+                {"send_rollback",
+                 [](context& each) {
+                     const auto rolled_back = [&pool = each.pool, number = each.subject.number](
+                                                  const exchange_outcome& outcome, instant now) {
+                         pooled_connection* subject = pool.find(number);
+                         if (subject != nullptr && std::holds_alternative<member_reply>(outcome)) {
+                             const bool clean = subject->transaction == transaction_state::none;
+                             pool.fire(*subject, clean ? event::rolled_back : event::discard, now);
+                         }
+                     };
+                     each.pool.send_own(each.subject.number, {roll_back{}}, rolled_back, each.now);
+                 }},
+                {"close_socket",
+                 [](context& each) {
+                     each.pool.hooks_.send(close_member{{.connection = each.subject.number}});
+                 }},
+                {"forget",
+                 [](context& each) {
+                     each.pool.forget(each.subject);
+                 }},
+            }};
+}
+
+void member_pool::fire(pooled_connection& subject, event what, instant now)
+{
+    context each{.pool = *this, .subject = subject, .now = now};
+    subject.state = program_->fire(subject.state, what, each).state;
+}
+
+void member_pool::configure(const std::map<std::string, member_entry>& entries,
+                            const std::map<std::string, std::uint32_t>& limits, std::size_t daemons, instant now)
+{
+    daemons_ = std::max<std::size_t>(daemons, 1);
+    for (auto& [id, each] : members_) {
+        each.listed = entries.contains(id);
+    }
+    for (const auto& [id, entry] : entries) {
+        const auto [place, added] = members_.try_emplace(id);
+        pooled_member& each = place->second;
+        const bool restarted =
+            !added && (each.entry->started_at_ms != entry->started_at_ms || each.entry->address != entry->address);
+        if (added || restarted) {
+            each.seen_at = now;
+            each.next_attempt = now;
+        }
+        each.entry = entry;
+        const auto limit = limits.find(entry->service);
+        each.limit = limit == limits.end() ? 0 : limit->second;
+    }
+    drop_finished_members();
+}
+
+void member_pool::drop_finished_members()
+{
+    std::erase_if(members_, [](const auto& each) { return !each.second.listed && each.second.all.empty(); });
+}
+
+void member_pool::tick(instant now)
+{
+    for (const connection_number number : std::exchange(closed_, {})) {
+        connections_.erase(number);
+    }
+    for (auto& [id, each] : members_) {
+        close_surplus(each, now);
+        keep_minimum(each, now);
+    }
+    drop_finished_members();
+}
+
+connection_demand member_pool::demand(const pooled_member& target) const
+{
+    return {.limit = target.limit,
+            .daemons = daemons_,
+            .open = target.all.size(),
+            .opening = target.opening,
+            .waiting = target.waiting,
+            .refused_at = target.refused_at};
+}
+
+void member_pool::close_surplus(pooled_member& target, instant now)
+{
+    const auto idle = target.idle;
+    for (const connection_number number : idle) {
+        pooled_connection& each = connections_.at(number);
+        if (!target.listed || should_close(demand(target), each.idle_since, now)) {
+            fire(each, event::discard, now);
+        }
+    }
+}
+
+/// Keeps one connection open to each member, as long as the members accept one from every daemon.
+void member_pool::keep_minimum(pooled_member& target, instant now)
+{
+    const bool enough_for_all = target.limit >= daemons_;
+    if (target.listed && target.all.empty() && (enough_for_all || target.waiting > 0)) {
+        open(target, now);
+    }
+}
+
+void member_pool::open(pooled_member& target, instant now)
+{
+    if (!target.listed || now < target.next_attempt || !may_open(demand(target), now)) {
+        return;
+    }
+    const connection_number number = ++last_connection_;
+    pooled_connection& opened = connections_[number];
+    opened.number = number;
+    opened.member = target.entry->id;
+    opened.state = program_->initial();
+    opened.opened_at = now;
+    target.all.insert(number);
+    ++target.opening;
+    ++opened_total_;
+    hooks_.send(open_member{{.connection = number,
+                             .address = target.entry->address,
+                             .service = target.entry->service,
+                             .member = target.entry->id}});
+}
+
+connection_number member_pool::acquire(const std::string& member, const acquire_options& options, instant now)
+{
+    const auto found = members_.find(member);
+    if (found == members_.end()) {
+        return 0;
+    }
+    pooled_member& target = found->second;
+    if (target.idle.empty()) {
+        target.waiting = options.waiting;
+        open(target, now);
+        return 0;
+    }
+    const auto fitting = std::find_if(target.idle.begin(), target.idle.end(), [&](connection_number each) {
+        return connections_.at(each).values == options.values;
+    });
+    const auto clean = std::find_if(target.idle.begin(), target.idle.end(),
+                                    [&](connection_number each) { return connections_.at(each).values.empty(); });
+    connection_number chosen = *target.idle.begin();
+    if (fitting != target.idle.end()) {
+        chosen = *fitting;
+    } else if (clean != target.idle.end()) {
+        chosen = *clean;
+    }
+    pooled_connection& subject = connections_.at(chosen);
+    fire(subject, event::acquire, now);
+    subject.lost = options.lost;
+    return chosen;
+}
+
+void member_pool::send(connection_number connection, member_query query, exchange hooks)
+{
+    pooled_connection* subject = find(connection);
+    assert(subject != nullptr);
+    if (hooks.measured) {
+        ++members_.at(subject->member).running;
+    }
+    subject->exchanges.push_back(std::move(hooks));
+    hooks_.send(send_queries{{.connection = connection, .queries = {std::move(query)}}});
+}
+
+void member_pool::send_own(connection_number connection, const std::vector<member_statement>& statements,
+                           const exchange_hook& ended, instant now)
+{
+    pooled_connection* subject = find(connection);
+    assert(subject != nullptr);
+    std::vector<member_query> queries;
+    for (const member_statement& each : statements) {
+        queries.push_back(member_query{{.request_id = {}, .body = each}});
+        subject->exchanges.push_back({.sent_at = now, .ended = ended});
+    }
+    hooks_.send(send_queries{{.connection = connection, .queries = std::move(queries)}});
+}
+
+void member_pool::release(connection_number connection, instant now)
+{
+    if (pooled_connection* subject = find(connection)) {
+        subject->lost = nullptr;
+        fire(*subject, event::release, now);
+    }
+}
+
+void member_pool::discard(connection_number connection, instant now)
+{
+    if (pooled_connection* subject = find(connection)) {
+        fire(*subject, event::discard, now);
+    }
+}
+
+pooled_connection* member_pool::find(connection_number connection)
+{
+    const auto found = connections_.find(connection);
+    if (found == connections_.end() || program_->is_final(found->second.state)) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+const pooled_member* member_pool::member(const std::string& id) const
+{
+    const auto found = members_.find(id);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> member_pool::members_of(const std::string& service) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, each] : members_) {
+        if (each.listed && each.entry->service == service) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::size_t member_pool::open_connections() const
+{
+    std::size_t open = 0;
+    for (const auto& [id, each] : members_) {
+        open += each.all.size() - each.opening;
+    }
+    return open;
+}
+
+std::optional<instant> member_pool::oldest_exchange(const std::string& id) const
+{
+    const pooled_member* target = member(id);
+    std::optional<instant> oldest;
+    if (target == nullptr) {
+        return oldest;
+    }
+    for (const connection_number number : target->all) {
+        const auto& exchanges = connections_.at(number).exchanges;
+        if (!exchanges.empty() && (!oldest || exchanges.front().sent_at < *oldest)) {
+            oldest = exchanges.front().sent_at;
+        }
+    }
+    return oldest;
+}
+
+void member_pool::make_idle(pooled_connection& subject, instant now)
+{
+    pooled_member& target = members_.at(subject.member);
+    subject.idle_since = now;
+    subject.lost = nullptr;
+    target.idle.insert(subject.number);
+    target.waiting = 0;
+}
+
+void member_pool::forget(pooled_connection& subject)
+{
+    pooled_member& target = members_.at(subject.member);
+    for (const exchange& each : subject.exchanges) {
+        target.running -= each.measured ? 1 : 0;
+    }
+    subject.exchanges.clear();
+    target.opening -= subject.state == program_->initial() ? 1 : 0;
+    target.all.erase(subject.number);
+    closed_.push_back(subject.number);
+}
+
+void member_pool::unanswered(const std::string& id, instant sent_at, instant now)
+{
+    const auto found = members_.find(id);
+    if (found == members_.end()) {
+        return;
+    }
+    const member_reach before = found->second.health.reach();
+    found->second.health.unanswered(sent_at);
+    update_reach(found->second, before, now);
+}
+
+void member_pool::update_reach(pooled_member& target, member_reach before, instant now)
+{
+    const member_reach after = target.health.reach();
+    if (before != after) {
+        hooks_.reach_changed(target.entry->id, after, now);
+    }
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/pool/member_pool_events.cc
@@ -0,0 +1,145 @@
+#include "pool/member_pool.h"
+
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Pause after an attempt to connect that the instance refused at once.
+constexpr duration refused_pause = std::chrono::milliseconds(150);
+
+/// Pause after an attempt that got no answer within the connect timeout.
+constexpr duration silent_pause = std::chrono::milliseconds(200);
+
+/// Pause after the member itself rejected the session.
+constexpr duration rejected_pause = std::chrono::milliseconds(300);
+
+/// Pause after another member answered at the address: the store's entry is out of date or the address was reused.
+constexpr duration wrong_member_pause = std::chrono::seconds(2);
+
+} // namespace
+
+void member_pool::handle(const member_event& message, instant now)
+{
+    if (const auto* opened = std::get_if<member_opened>(&message)) {
+        on_opened((*opened)->connection, now);
+    } else if (const auto* reply = std::get_if<member_reply>(&message)) {
+        on_reply(*reply, now);
+    } else if (const auto* closed = std::get_if<member_closed>(&message)) {
+        on_closed(*closed, now);
+    }
+}
+
+void member_pool::on_opened(connection_number number, instant now)
+{
+    pooled_connection* subject = find(number);
+    if (subject == nullptr) {
+        return;
+    }
+    pooled_member& target = members_.at(subject->member);
+    const std::string member = subject->member;
+    --target.opening;
+    const member_reach before = target.health.reach();
+    target.health.answered(now);
+    fire(*subject, event::opened, now);
+    update_reach(target, before, now);
+    hooks_.idle(member, now);
+}
+
+void member_pool::on_reply(const member_reply& reply, instant now)
+{
+    pooled_connection* subject = find(reply->connection);
+    if (subject == nullptr) {
+        return;
+    }
+    if (subject->exchanges.empty()) {
+        hooks_.log("member_unexpected_answer", "member=" + subject->member);
+        fire(*subject, event::discard, now);
+        return;
+    }
+    const std::string member = subject->member;
+    exchange finished = std::move(subject->exchanges.front());
+    subject->exchanges.pop_front();
+    subject->transaction = reply->state;
+    pooled_member& target = members_.at(member);
+    const member_reach before = target.health.reach();
+    target.health.answered(now);
+    if (finished.measured) {
+        --target.running;
+        target.latency.answered(now - finished.sent_at, now);
+    }
+    update_reach(target, before, now);
+    hooks_.answered(member, reply, finished.sent_at, now);
+    finished.ended(reply, now);
+    // The user may have released the connection.
+    pooled_connection* left = find(reply->connection);
+    if (left != nullptr && members_.at(member).idle.contains(left->number)) {
+        hooks_.idle(member, now);
+    }
+}
+
+void member_pool::on_closed(const member_closed& closed, instant now)
+{
+    pooled_connection* subject = find(closed->connection);
+    if (subject == nullptr) {
+        return;
+    }
+    const std::string member = subject->member;
+    const instant opened_at = subject->opened_at;
+    const bool opening = subject->state == program_->initial();
+    auto exchanges = std::exchange(subject->exchanges, {});
+    auto lost = std::exchange(subject->lost, nullptr);
+    pooled_member& target = members_.at(member);
+    for (const exchange& each : exchanges) {
+        target.running -= each.measured ? 1 : 0;
+    }
+    const member_reach before = target.health.reach();
+    if (opening) {
+        note_failed_attempt(target, closed, opened_at, now);
+    } else if (closed->end == connection_end::silent && !exchanges.empty()) {
+        target.health.unanswered(exchanges.front().sent_at);
+    }
+    fire(*subject, event::ended, now);
+    update_reach(target, before, now);
+    for (const exchange& each : exchanges) {
+        each.ended(exchange_lost{.end = closed->end}, now);
+    }
+    if (exchanges.empty() && lost) {
+        lost(now);
+    }
+}
+
+/// Draws conclusions from an attempt to connect that failed.
+void member_pool::note_failed_attempt(pooled_member& target, const member_closed& closed, instant opened_at,
+                                      instant now)
+{
+    switch (closed->end) {
+    case connection_end::refused:
+        target.health.refused(now);
+        target.next_attempt = now + refused_pause;
+        break;
+    case connection_end::rejected:
+        target.health.answered(now);
+        target.next_attempt = now + rejected_pause;
+        if (closed->failure && (*closed->failure)->kind == error_kind::too_many_connections) {
+            target.refused_at = now;
+        } else if (closed->failure && (*closed->failure)->kind == error_kind::wrong_member) {
+            target.next_attempt = now + wrong_member_pause;
+        }
+        break;
+    case connection_end::no_answer:
+    case connection_end::silent:
+        target.health.unanswered(opened_at);
+        target.next_attempt = now + silent_pause;
+        break;
+    case connection_end::reset:
+    case connection_end::protocol_error:
+        target.next_attempt = now + rejected_pause;
+        break;
+    }
+    hooks_.log("member_connect_failed", "member=" + target.entry->id + " address=" + target.entry->address +
+                                            " reason=" + connection_end_name(closed->end) +
+                                            (closed->failure ? " error=" + (*closed->failure)->detail : std::string{}));
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/presence/daemon_entry.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "citronfall/immutable.h"
+
+#include <cstdint>
+#include <string>
+
+namespace citronfall {
+
+/// Fields of a daemon's registration.
+struct daemon_entry_fields {
+    std::string name;
+    std::string peer_address; ///< "ip:port" for other daemons.
+    std::string data_center;
+    std::uint64_t incarnation = 0; ///< Tells runs of one daemon apart.
+
+    friend auto operator<=>(const daemon_entry_fields&, const daemon_entry_fields&) = default;
+};
+
+/// What a daemon registers about itself in the store; ends with its lease.
+using daemon_entry = immutable<daemon_entry_fields>;
+
+} // namespace citronfall
--- /dev/null
+++ b/src/presence/presence.cc
@@ -0,0 +1,197 @@
+#include "presence/presence.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Time after which an absent daemon's entries go. Shorter times lose the duties at each pause of a process; longer
+/// ones leave a service without anybody who may change its primary.
+constexpr duration lease_time = std::chrono::seconds(3);
+
+/// What each further rank waits before it takes a free duty: several round trips to a slow store.
+constexpr duration rank_pause = std::chrono::milliseconds(300);
+
+/// Bound of one change of a key.
+constexpr duration write_timeout = std::chrono::milliseconds(1000);
+
+/// Pause between two attempts to change a key.
+constexpr duration write_pause = std::chrono::milliseconds(500);
+
+/// FNV-1a, which is the same on all daemons.
+std::uint64_t hash_of(const std::string& text)
+{
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    }
+    return hash;
+}
+
+} // namespace
+
+result<std::unique_ptr<presence>> presence::make(presence_options options, const directory& known)
+{
+    std::unique_ptr<presence> made(new presence(std::move(options), known));
+    auto lease =
+        lease_keeper::make({.time_to_live = lease_time, .call = made->options_.call, .log = made->options_.log});
+    if (!ok(lease)) {
+        return error_of(lease);
+    }
+    made->lease_ = take(std::move(lease));
+    return made;
+}
+
+void presence::tick(instant now)
+{
+    if (left_) {
+        return;
+    }
+    lease_->tick(now);
+    if (lease_->lease() == 0) {
+        return;
+    }
+    register_self(now);
+    take_duties(now);
+}
+
+void presence::register_self(instant now)
+{
+    const std::string& name = options_.self->name;
+    const auto found = known_.daemons().find(name);
+    const bool listed = found != known_.daemons().end() && found->second == options_.self;
+    if (listed && registered_with_ == lease_->lease()) {
+        return;
+    }
+    const std::string key = options_.keys.daemons + name;
+    if (now >= next_attempts_[key]) {
+        // Unconditional: only this daemon writes its own entry.
+        next_attempts_[key] = now + write_pause;
+        const call_number number = options_.call(
+            change_items{
+                {.writes = {store_item{
+                     {.key = key, .value = options_.encode_daemon(options_.self), .lease = lease_->lease()}}}}},
+            write_timeout);
+        writes_[number] = key;
+    }
+}
+
+bool presence::own(const duty_entry& duty) const
+{
+    return duty->holder == options_.self->name && duty->incarnation == options_.self->incarnation;
+}
+
+void presence::take_duties(instant now)
+{
+    if (!known_.configuration() || !known_.daemons().contains(options_.self->name)) {
+        return;
+    }
+    std::set<std::string> services;
+    for (const auto& [database, each] : (*known_.configuration())->routes) {
+        services.insert(each->service);
+    }
+    for (const std::string& service : services) {
+        take_duty(service, now);
+    }
+}
+
+void presence::take_duty(const std::string& service, instant now)
+{
+    const auto held = known_.duties().find(service);
+    if (held != known_.duties().end() && held->second->holder != options_.self->name) {
+        free_since_.erase(service);
+        return;
+    }
+    if (held != known_.duties().end() && own(held->second)) {
+        return;
+    }
+    // Free, or left over from an earlier run of this daemon, which this run continues with a higher fence.
+    const bool free = held == known_.duties().end();
+    const instant since = free_since_.try_emplace(service, now).first->second;
+    if (free && now - since < rank_pause * static_cast<int>(rank(service))) {
+        return;
+    }
+    const duty_entry wanted{
+        {.service = service, .holder = options_.self->name, .incarnation = options_.self->incarnation}};
+    write(options_.keys.duties + service, options_.encode_duty(wanted), free ? 0 : held->second->fence, now);
+}
+
+void presence::write(const std::string& key, const std::string& value, kv_revision expected, instant now)
+{
+    if (now < next_attempts_[key]) {
+        return;
+    }
+    next_attempts_[key] = now + write_pause;
+    const call_number number =
+        options_.call(change_items{{.expected = {expected_revision{{.key = key, .revision = expected}}},
+                                    .writes = {store_item{{.key = key, .value = value, .lease = lease_->lease()}}}}},
+                      write_timeout);
+    writes_[number] = key;
+}
+
+std::size_t presence::rank(const std::string& service) const
+{
+    const std::uint64_t own_hash = hash_of(service + "/" + options_.self->name);
+    return static_cast<std::size_t>(
+        std::count_if(known_.daemons().begin(), known_.daemons().end(),
+                      [&](const auto& each) { return hash_of(service + "/" + each.first) < own_hash; }));
+}
+
+bool presence::handle(const store_answer& answer, instant now)
+{
+    if (lease_->handle(answer, now)) {
+        return true;
+    }
+    const auto found = writes_.find(answer->number);
+    if (found == writes_.end()) {
+        return false;
+    }
+    const std::string key = found->second;
+    writes_.erase(found);
+    options_.log("store_write", "key=" + key + " outcome=" + call_outcome_name(answer->outcome) +
+                                    " revision=" + std::to_string(answer->revision));
+    if (answer->outcome == call_outcome::done && key == options_.keys.daemons + options_.self->name) {
+        registered_with_ = lease_->lease();
+    }
+    return true;
+}
+
+void presence::leave(instant now)
+{
+    left_ = true;
+    lease_->leave(now);
+}
+
+std::optional<std::uint64_t> presence::fence(const std::string& service, instant now) const
+{
+    const auto held = known_.duties().find(service);
+    if (left_ || held == known_.duties().end() || !own(held->second)) {
+        return std::nullopt;
+    }
+    const auto refused = overtaken_.find(service);
+    if (refused != overtaken_.end() && refused->second >= held->second->fence) {
+        return std::nullopt;
+    }
+    if (!lease_->valid(now) && !options_.fences_enforced) {
+        return std::nullopt;
+    }
+    return held->second->fence;
+}
+
+void presence::overtaken(const std::string& service, std::uint64_t fence)
+{
+    overtaken_[service] = std::max(overtaken_[service], fence);
+}
+
+void presence::raise_fence(const std::string& service, instant now)
+{
+    const auto held = known_.duties().find(service);
+    if (held == known_.duties().end() || !own(held->second) || lease_->lease() == 0) {
+        return;
+    }
+    write(options_.keys.duties + service, options_.encode_duty(held->second), held->second->fence, now);
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/presence_codec/presence_codec.cc
@@ -0,0 +1,55 @@
+#include "presence_codec/presence_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronfall {
+namespace {
+
+using json = nlohmann::json;
+
+error unreadable(std::string_view key, const char* why)
+{
+    return error{{.kind = error_kind::bad_request, .detail = "entry " + std::string(key) + ": " + why}};
+}
+
+} // namespace
+
+std::string presence_codec::encode(const daemon_entry& entry)
+{
+    return json{
+        {"peer_address", entry->peer_address}, {"data_center", entry->data_center}, {"incarnation", entry->incarnation}}
+        .dump();
+}
+
+result<daemon_entry> presence_codec::read_daemon(std::string_view name, std::string_view value)
+{
+    try {
+        const json source = json::parse(value);
+        return daemon_entry{{.name = std::string(name),
+                             .peer_address = source.at("peer_address").get<std::string>(),
+                             .data_center = source.at("data_center").get<std::string>(),
+                             .incarnation = source.at("incarnation").get<std::uint64_t>()}};
+    } catch (const json::exception& problem) {
+        return unreadable(name, problem.what());
+    }
+}
+
+std::string presence_codec::encode(const duty_entry& entry)
+{
+    return json{{"holder", entry->holder}, {"incarnation", entry->incarnation}}.dump();
+}
+
+result<duty_entry> presence_codec::read_duty(std::string_view service, std::uint64_t fence, std::string_view value)
+{
+    try {
+        const json source = json::parse(value);
+        return duty_entry{{.service = std::string(service),
+                           .holder = source.at("holder").get<std::string>(),
+                           .incarnation = source.at("incarnation").get<std::uint64_t>(),
+                           .fence = fence}};
+    } catch (const json::exception& problem) {
+        return unreadable(service, problem.what());
+    }
+}
+
+} // namespace citronfall
