--- /dev/null
+++ b/src/takeover/primary_change.cc
@@ -0,0 +1,301 @@
+#include "takeover/primary_change.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// For peers to tell whether they reach the primary; a round trip within a region takes a few milliseconds.
+constexpr duration answers_bound = std::chrono::milliseconds(150);
+
+/// For members to tell their positions. A status waits for a slot.
+constexpr duration positions_bound = std::chrono::milliseconds(150);
+
+/// From an accepted promotion to the first proof of the new lead; members take some hundred milliseconds.
+constexpr duration lead_bound = std::chrono::milliseconds(1500);
+
+/// For a stepping primary to answer, and for its successor to receive the rest.
+constexpr duration catch_up_bound = std::chrono::milliseconds(2000);
+
+/// Pause after a change or a suspicion that peers did not share.
+constexpr duration disagreement_pause = std::chrono::milliseconds(300);
+
+/// Pause after a completed change, so that a service does not change back and forth.
+constexpr duration change_pause = std::chrono::milliseconds(1500);
+
+/// A daemon that knows no leader from its start waits this long before it takes the service for leaderless.
+constexpr duration first_search = std::chrono::milliseconds(1500);
+
+} // namespace
+
+result<std::unique_ptr<primary_change>> primary_change::make(primary_change_options options, member_pool& pool)
+{
+    std::unique_ptr<primary_change> made(new primary_change(std::move(options), pool));
+    if (const auto bound = made->bind(); !ok(bound)) {
+        return error_of(bound);
+    }
+    return made;
+}
+
+result<done> primary_change::bind()
+{
+    auto subject = chart::make_embedded("primary_change");
+    if (!ok(subject)) {
+        return error_of(subject);
+    }
+    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    if (!ok(made)) {
+        return error_of(made);
+    }
+    program_.emplace(take(std::move(made)));
+    state_ = program_->initial();
+    return done{};
+}
+
+chart_bindings<primary_change::context> primary_change::bindings()
+{
+    return {
+        .events = {"leader_silent", "leader_down", "leader_leaving", "leader_found", "peers_answered", "answers_due",
+                   "positions_complete", "positions_due", "accepted", "refused", "unanswered", "lead_due",
+                   "stepped_down", "step_failed", "caught_up", "catch_up_due", "duty_lost"},
+        .guards =
+            {
+                {"may_change",
+                 [](const context& each) {
+                     return each.change.may_change(each.now);
+                 }},
+                {"may_hand_over",
+                 [](const context& each) {
+                     return each.change.may_change(each.now) && each.change.least_behind().has_value();
+                 }},
+                {"peers_agree",
+                 [](const context& each) {
+                     return each.change.peers_agree();
+                 }},
+                {"has_successor",
+                 [](const context& each) {
+                     return each.change.furthest().has_value();
+                 }},
+            },
+        .actions =
+            {
+                {"ask_peers",
+                 [](context& each) {
+                     each.change.ask_peers(each.now);
+                 }},
+                {"ask_positions",
+                 [](context& each) {
+                     each.change.ask_positions(each.now);
+                 }},
+                {"order_promotion",
+                 [](context& each) {
+                     each.change.order_promotion(each.now);
+                 }},
+                {"step_down",
+                 [](context& each) {
+                     each.change.step_leader_down(each.now);
+                 }},
+                {"ask_catch_up",
+                 [](context& each) {
+                     each.change.ask_catch_up(each.now);
+                 }},
+                {"raise_fence",
+                 [](context& each) {
+                     each.change.options_.raise_fence(each.now);
+                 }},
+                {"note_refusal",
+                 [](context& each) {
+                     primary_change& change = each.change;
+                     change.refused_until_[change.successor_] = each.now + change_pause;
+                     if (++change.refusals_ >= 2) {
+                         // Two members refused in a row: the fence is the likelier reason.
+                         change.refusals_ = 0;
+                         change.options_.overtaken(change.ordered_fence_);
+                         change.options_.raise_fence(each.now);
+                     }
+                 }},
+                {"note_disagreement",
+                 [](context& each) {
+                     primary_change& change = each.change;
+                     change.next_attempt_ = each.now + disagreement_pause;
+                     change.options_.log("change_declined", "service=" + change.options_.service +
+                                                                " reaching=" + std::to_string(change.reaching_it_) +
+                                                                " missing=" + std::to_string(change.missing_it_));
+                 }},
+                {"note_end",
+                 [](context& each) {
+                     each.change.note_end(each.now);
+                 }},
+            },
+        .arm_timer = [](context& each, const chart_timer& timer) { each.change.arm(timer, each.now); },
+    };
+}
+
+void primary_change::fire(event what, instant now)
+{
+    context each{.change = *this, .now = now};
+    const state_id before = state_;
+    state_ = program_->fire(state_, what, each).state;
+    if (before != state_) {
+        options_.log("primary_change", "service=" + options_.service + " from=" + program_->state_name(before) +
+                                           " to=" + program_->state_name(state_) +
+                                           " leader=" + options_.state().lead.last_leader() +
+                                           " term=" + std::to_string(options_.state().lead.term()));
+    }
+}
+
+void primary_change::arm(const chart_timer& timer, instant now)
+{
+    const std::map<std::string, duration> bounds = {
+        {"answers", answers_bound}, {"positions", positions_bound}, {"lead", lead_bound}, {"catch_up", catch_up_bound}};
+    const std::uint64_t entry = ++entry_;
+    const event due = program_->event(timer->event);
+    options_.at(now + bounds.at(timer->timer), [this, entry, due](instant at) {
+        if (entry == entry_) {
+            fire(due, at);
+        }
+    });
+}
+
+bool primary_change::in_progress() const
+{
+    return state_ != program_->initial();
+}
+
+bool primary_change::may_change(instant now) const
+{
+    return now >= next_attempt_ && options_.fence(now).has_value();
+}
+
+void primary_change::tick(instant now)
+{
+    if (in_progress()) {
+        if (!options_.fence(now)) {
+            fire(event::duty_lost, now);
+        }
+        return;
+    }
+    if (const auto reason = suspicion(now)) {
+        fire(*reason, now);
+    }
+}
+
+/// Why the primary should be replaced, if it should.
+std::optional<primary_change::event> primary_change::suspicion(instant now)
+{
+    const lead_view& lead = options_.state().lead;
+    if (lead.leader()) {
+        const pooled_member* leader = pool_.member(*lead.leader());
+        const bool leaving = leader == nullptr || !leader->listed || leader->entry->draining;
+        return leaving ? std::optional(event::leader_leaving) : std::nullopt;
+    }
+    if (!lead.lost_since()) {
+        const instant since = unknown_since_.value_or(now);
+        unknown_since_ = since;
+        return now - since > first_search ? std::optional(event::leader_silent) : std::nullopt;
+    }
+    const pooled_member* last = pool_.member(lead.last_leader());
+    const bool down = last == nullptr || !last->listed || last->health.reach() == member_reach::down;
+    return down ? event::leader_down : event::leader_silent;
+}
+
+void primary_change::leader_found(const std::string& member, term_number term, instant now)
+{
+    static_cast<void>(member);
+    static_cast<void>(term);
+    unknown_since_.reset();
+    fire(event::leader_found, now);
+}
+
+void primary_change::ask_peers(instant now)
+{
+    started_at_ = now;
+    missing_it_ = 0;
+    reaching_it_ = 0;
+    const lead_view& lead = options_.state().lead;
+    question_ = options_.ask_peers(lead.last_leader(), lead.term());
+}
+
+void primary_change::peer_answered(std::uint64_t number, bool misses_it, instant now)
+{
+    if (number != question_.number) {
+        return;
+    }
+    ++(misses_it ? missing_it_ : reaching_it_);
+    if (missing_it_ + reaching_it_ >= question_.asked) {
+        fire(event::peers_answered, now);
+    }
+}
+
+bool primary_change::peers_agree() const
+{
+    const std::size_t missing = missing_it_ + 1; // This daemon misses it.
+    return missing > reaching_it_;
+}
+
+void primary_change::note_end(instant now)
+{
+    const auto& leader = options_.state().lead.leader();
+    if (!successor_.empty() && leader == successor_) {
+        ++completed_total_;
+        next_attempt_ = now + change_pause;
+        options_.log("primary_changed", "service=" + options_.service + " member=" + successor_ +
+                                            " took_ms=" + std::to_string((now - started_at_).count() / 1000) +
+                                            " fence=" + std::to_string(ordered_fence_));
+    }
+    for (const std::string& member : std::exchange(paused_, {})) {
+        const connection_number connection = pool_.acquire(member, {}, now);
+        if (connection != 0) {
+            pool_.send_own(
+                connection, {resume_receiving{}},
+                [this, connection](const exchange_outcome&, instant at) { pool_.release(connection, at); }, now);
+        }
+    }
+    successor_.clear();
+    leaving_.clear();
+    final_position_.reset();
+    refusals_ = 0;
+}
+
+void primary_change::order_promotion(instant now)
+{
+    successor_ = final_position_ && !successor_.empty() ? successor_ : furthest().value_or(successor_);
+    final_position_.reset();
+    const auto fence = options_.fence(now);
+    if (!fence || successor_.empty()) {
+        return; // The next tick notices the lost duty.
+    }
+    constexpr duration promotion_timeout = std::chrono::milliseconds(800);
+    ordered_fence_ = *fence;
+    pending_ = options_.call(
+        promote_member{{.service = options_.service, .member = successor_, .holder = options_.daemon, .fence = *fence}},
+        promotion_timeout);
+    options_.log("promotion_ordered",
+                 "service=" + options_.service + " member=" + successor_ + " fence=" + std::to_string(*fence));
+}
+
+bool primary_change::handle(const store_answer& answer, instant now)
+{
+    if (pending_ == 0 || answer->number != pending_) {
+        return false;
+    }
+    pending_ = 0;
+    options_.log("promotion_answered", "service=" + options_.service + " member=" + successor_ + " outcome=" +
+                                           call_outcome_name(answer->outcome) + " reason=\"" + answer->detail + "\"");
+    if (answer->outcome == call_outcome::done) {
+        fire(event::accepted, now);
+    } else if (answer->outcome == call_outcome::conflict) {
+        fire(event::refused, now);
+    } else {
+        constexpr duration order_pause = std::chrono::milliseconds(100);
+        options_.at(now + order_pause, [this](instant at) {
+            if (pending_ == 0) {
+                fire(event::unanswered, at);
+            }
+        });
+    }
+    return true;
+}
+
+} // namespace citronfall
--- /dev/null
+++ b/src/takeover/primary_change_positions.cc
@@ -0,0 +1,209 @@
+#include "takeover/primary_change.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Between two questions whether the successor has received everything. They take no slot.
+constexpr duration catch_up_interval = std::chrono::milliseconds(10);
+
+} // namespace
+
+/// Members that could lead next.
+std::vector<std::string> primary_change::successors(bool draining_too) const
+{
+    const std::string& last = options_.state().lead.last_leader();
+    std::vector<std::string> list;
+    for (const std::string& id : pool_.members_of(options_.service)) {
+        const pooled_member& each = *pool_.member(id);
+        const bool reachable = each.health.reach() == member_reach::good;
+        if (id != last && reachable && (draining_too || !each.entry->draining)) {
+            list.push_back(id);
+        }
+    }
+    return list;
+}
+
+/// How many members must tell their positions. A commit that needs s replicas is on at least one of any r - s + 1.
+std::size_t primary_change::answers_needed() const
+{
+    const std::uint32_t sync = options_.sync_replicas();
+    if (sync == 0) {
+        return 1;
+    }
+    std::size_t replicas = 0;
+    for (const std::string& id : pool_.members_of(options_.service)) {
+        replicas += id != options_.state().lead.last_leader() ? 1 : 0;
+    }
+    return replicas + 1 > sync ? std::max<std::size_t>(replicas + 1 - sync, 1) : 1;
+}
+
+void primary_change::ask_positions(instant now)
+{
+    if (!in_progress()) {
+        started_at_ = now;
+    }
+    positions_.clear();
+    final_position_.reset();
+    successor_.clear();
+    auto asked = successors(false);
+    if (asked.empty()) {
+        asked = successors(true);
+    }
+    positions_asked_ = asked.size();
+    for (const std::string& member : asked) {
+        ask_position(member, now);
+    }
+}
+
+void primary_change::ask_position(const std::string& member, instant now)
+{
+    const connection_number connection = pool_.acquire(member, {}, now);
+    if (connection == 0) {
+        return;
+    }
+    const bool pause = options_.sync_replicas() > 0;
+    member_statement question = ask_status{};
+    if (pause) {
+        // Without it the old primary could acknowledge a commit after the position was told.
+        question = pause_receiving{.term = options_.state().lead.term() + 1};
+        paused_.insert(member);
+    }
+    pool_.send_own(
+        connection, {question},
+        [this, member, connection](const exchange_outcome& outcome, instant at) {
+            on_position(member, connection, outcome, at);
+        },
+        now);
+}
+
+void primary_change::on_position(const std::string& member, connection_number connection,
+                                 const exchange_outcome& outcome, instant now)
+{
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply == nullptr) {
+        return;
+    }
+    pool_.release(connection, now);
+    std::optional<log_position> position;
+    if (!(*reply)->failure && !(*reply)->rows.empty()) {
+        const auto status = options_.read_status((*reply)->rows.front());
+        if (ok(status)) {
+            options_.state().lead.heard_of(value_of(status)->term);
+            position = value_of(status)->received;
+        }
+    } else if (options_.sync_replicas() == 0) {
+        position = (*reply)->position; // A busy member still tells how far its log is.
+    }
+    if (!position) {
+        return;
+    }
+    options_.log("position_told", "service=" + options_.service + " member=" + member + " position=" +
+                                      std::to_string((*position)->term) + "." + std::to_string((*position)->index));
+    positions_[member] = *position;
+    if (positions_.size() >= positions_asked_) {
+        fire(event::positions_complete, now);
+    }
+}
+
+std::optional<std::string> primary_change::furthest() const
+{
+    if (positions_.size() < answers_needed()) {
+        return std::nullopt;
+    }
+    std::optional<std::string> best;
+    for (const auto& [member, position] : positions_) {
+        const auto refused = refused_until_.find(member);
+        const bool out = refused != refused_until_.end() && refused->second > started_at_;
+        if (!out && (!best || position > positions_.at(*best))) {
+            best = member;
+        }
+    }
+    return best;
+}
+
+std::optional<std::string> primary_change::least_behind() const
+{
+    const auto candidates = successors(false);
+    const auto& progress = options_.state().progress;
+    const auto lag = [&progress](const std::string& member) {
+        const auto found = progress.find(member);
+        return found == progress.end() ? duration{} : found->second.lag();
+    };
+    const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                       [&](const auto& a, const auto& b) { return lag(a) < lag(b); });
+    return best == candidates.end() ? std::nullopt : std::optional(*best);
+}
+
+void primary_change::step_leader_down(instant now)
+{
+    started_at_ = now;
+    lead_view& lead = options_.state().lead;
+    leaving_ = *lead.leader();
+    positions_.clear();
+    successor_ = least_behind().value_or("");
+    const connection_number connection = pool_.acquire(leaving_, {}, now);
+    if (connection == 0) {
+        options_.at(now, [this](instant at) { fire(event::step_failed, at); });
+        return;
+    }
+    pool_.send_own(
+        connection, {step_down{.term = lead.term() + 1}},
+        [this, connection](const exchange_outcome& outcome, instant at) { on_stepped_down(connection, outcome, at); },
+        now);
+}
+
+void primary_change::on_stepped_down(connection_number connection, const exchange_outcome& outcome, instant now)
+{
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply == nullptr) {
+        fire(event::step_failed, now);
+        return;
+    }
+    pool_.release(connection, now);
+    const bool told = !(*reply)->failure && !(*reply)->rows.empty();
+    const auto status = told ? options_.read_status((*reply)->rows.front())
+                             : result<log_status>(error{{.kind = error_kind::internal, .detail = "no status"}});
+    if (!ok(status) || value_of(status)->leads) {
+        fire(event::step_failed, now);
+        return;
+    }
+    final_position_ = value_of(status)->received;
+    options_.state().lead.lost(leaving_, now);
+    options_.log("primary_stepped_down", "service=" + options_.service + " member=" + leaving_ +
+                                             " position=" + std::to_string((*final_position_)->term) + "." +
+                                             std::to_string((*final_position_)->index));
+    fire(event::stepped_down, now);
+}
+
+void primary_change::ask_catch_up(instant now)
+{
+    if (!final_position_) {
+        return;
+    }
+    const connection_number connection = pool_.acquire(successor_, {}, now);
+    if (connection == 0) {
+        options_.at(now + catch_up_interval, [this](instant at) { ask_catch_up(at); });
+        return;
+    }
+    pool_.send_own(
+        connection, {begin_reading{.after = *final_position_}},
+        [this, connection](const exchange_outcome& outcome, instant at) { on_catch_up(connection, outcome, at); }, now);
+}
+
+void primary_change::on_catch_up(connection_number connection, const exchange_outcome& outcome, instant now)
+{
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply != nullptr) {
+        pool_.release(connection, now);
+        if (!(*reply)->failure) {
+            fire(event::caught_up, now);
+            return;
+        }
+    }
+    options_.at(now + catch_up_interval, [this](instant at) { ask_catch_up(at); });
+}
+
+} // namespace citronfall
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -1,6 +1,6 @@
 #include "failover/change_backoff.h"
 #include "failover/failover_coordinator.h"
-#include "platform/group_record_codec.h"
+#include "kv_service/group_record_codec.h"
 #include "support/virtual_callers.h"
 
 #include <set>
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,5 +1,5 @@
 #include "http/http_client.h"
-#include "platform/http_platform.h"
+#include "kv_service/http_platform.h"
 #include "standin/http_server.h"
 #include "standin/platform_server.h"
 
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -1,5 +1,5 @@
+#include "kv_service/share_ledger_codec.h"
 #include "load/virtual_time.h"
-#include "platform/share_ledger_codec.h"
 #include "share/share_table.h"
 
 #include <catch2/catch.hpp>
--- a/tests/support/virtual_deployment.cc
+++ b/tests/support/virtual_deployment.cc
@@ -1,7 +1,7 @@
 #include "support/virtual_deployment.h"
 
-#include "platform/group_record_codec.h"
-#include "platform/share_ledger_codec.h"
+#include "kv_service/group_record_codec.h"
+#include "kv_service/share_ledger_codec.h"
 
 #include <algorithm>
 #include <stdexcept>
