Place reads by what members hold, wait only while an answer can be in time, lose no connection

Causes: (1) a read that a replica refused as behind was offered to the same replica until its attempts were spent; (2) statements waited although their answers could only be late; (3) a rollback whose answer was lost kept its connection for good; (4) asking for one more connection handed out an idle one that nobody returned. Ruled out: a leak in sessions or probes (the last users of the lost connections had released them). Also: a draining daemon refuses new sessions once the balancer has had time to notice.

--- a/src/caller_session/session_table.cc
+++ b/src/caller_session/session_table.cc
@@ -174,8 +174,8 @@
                                           " error=" + std::string(answer_for(kind).name));
         hooks_.reply(session_close{{.session = started->session, .failure = problem(kind, started->database)}});
     };
-    if (!hooks_.configured()) {
-        refuse(error_kind::not_ready);
+    if (const auto reason = hooks_.refuse_start(now)) {
+        refuse(*reason);
         return;
     }
     if (hooks_.find_route(started->database) == nullptr) {
@@ -457,6 +457,13 @@
     return found != sessions_.end() && found->second.current.has_value();
 }
 
+void session_table::close_after_answer(session_number number)
+{
+    if (const auto found = sessions_.find(number); found != sessions_.end()) {
+        found->second.close_when_idle = true;
+    }
+}
+
 void session_table::close_when_idle(session_number number, instant now)
 {
     const auto found = sessions_.find(number);
--- a/src/caller_session/session_table.h
+++ b/src/caller_session/session_table.h
@@ -24,7 +24,7 @@
 struct session_table_hooks {
     std::function<void(const caller_reply&)> reply;
     std::function<const route*(const std::string& database)> find_route; ///< Null: no route has the database.
-    std::function<bool()> configured;                                    ///< A configuration is known.
+    std::function<std::optional<error_kind>(instant)> refuse_start;      ///< Why no session starts now; or nothing.
     std::function<task_number(const task_request&, instant)> submit;
     std::function<void(task_number, instant)> cancel;
     std::function<void(connection_number, instant)> release;                        ///< Rolls back what is open.
@@ -54,6 +54,9 @@
     /// Ends transactions that were idle for longer than `idle_limit`; 0: none.
     void tick(duration idle_limit, instant now);
 
+    /// Closes a session behind the next answer that leaves it outside a transaction.
+    void close_after_answer(session_number session);
+
     /// Closes a session as soon as it is outside a transaction and owes no answer.
     void close_when_idle(session_number session, instant now);
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -21,33 +21,52 @@
 /// Connections to the leader that reads leave free for statements that only the leader can serve.
 constexpr std::size_t leader_reserve = 1;
 
+/// Statements of this daemon in progress on the leader beside which it still gets a read that others could serve. All
+/// daemons together then fill the leader's slots without a long queue before what only the leader can serve.
+constexpr std::size_t leader_reads = 1;
+
 /// Expected answers that differ by less than this share count as equal.
 constexpr double tie_part = 0.15;
 
-bool usable(const placement_candidate& each, bool allow_reserve, bool allow_draining)
+/// Which members one round of the choice allows.
+struct choice_round {
+    bool reserve = false;  ///< The leader's last connections.
+    bool behind = false;   ///< Members that probably lack the required position.
+    bool draining = false; ///< Members that are about to leave.
+};
+
+/// From best to worst. A leader's last connection is better spent than an attempt that will probably be refused.
+constexpr choice_round rounds[] = {
+    {}, {.reserve = true}, {.reserve = true, .behind = true}, {.reserve = true, .behind = true, .draining = true}};
+
+bool allowed(const placement_candidate& each, const choice_round& round)
 {
-    if (each->reach == member_reach::silent || each->reach == member_reach::down || each->idle == 0) {
+    const bool unreachable = each->reach == member_reach::silent || each->reach == member_reach::down;
+    if (unreachable || each->refused || each->idle == 0) {
         return false;
     }
-    if (each->draining && !allow_draining) {
+    if ((each->draining && !round.draining) || (!each->holds_floor && !round.behind)) {
         return false;
     }
-    return !each->leads || allow_reserve || each->idle > leader_reserve;
+    if (!each->leads) {
+        return true;
+    }
+    return each->running < leader_reads && (round.reserve || each->idle > leader_reserve);
 }
 
-std::optional<std::string> choose_usable(const std::vector<placement_candidate>& candidates, bool allow_reserve,
-                                         bool allow_draining, const std::function<std::uint64_t(std::uint64_t)>& random)
+std::optional<std::string> choose_in(const std::vector<placement_candidate>& candidates, const choice_round& round,
+                                     const std::function<std::uint64_t(std::uint64_t)>& random)
 {
     duration best = duration::max();
     for (const placement_candidate& each : candidates) {
-        if (usable(each, allow_reserve, allow_draining)) {
+        if (allowed(each, round)) {
             best = std::min(best, expected_answer(each));
         }
     }
+    const double limit = static_cast<double>(best.count()) * (1 + tie_part);
     std::vector<std::string> equal;
     for (const placement_candidate& each : candidates) {
-        if (usable(each, allow_reserve, allow_draining) &&
-            static_cast<double>(expected_answer(each).count()) <= static_cast<double>(best.count()) * (1 + tie_part)) {
+        if (allowed(each, round) && static_cast<double>(expected_answer(each).count()) <= limit) {
             equal.push_back(each->member);
         }
     }
@@ -71,13 +90,12 @@
 std::optional<std::string> choose_member(const std::vector<placement_candidate>& candidates,
                                          const std::function<std::uint64_t(std::uint64_t)>& random)
 {
-    if (auto chosen = choose_usable(candidates, false, false, random)) {
-        return chosen;
-    }
-    if (auto chosen = choose_usable(candidates, true, false, random)) {
-        return chosen;
+    for (const choice_round& round : rounds) {
+        if (auto chosen = choose_in(candidates, round, random)) {
+            return chosen;
+        }
     }
-    return choose_usable(candidates, true, true, random);
+    return std::nullopt;
 }
 
 } // namespace citronfall
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -19,6 +19,7 @@
     bool leads = false;
     bool draining = false;
     bool holds_floor = true; ///< Its log probably holds what the read requires.
+    bool refused = false;    ///< It refused this very read.
     bool local = false;      ///< Same data centre as this daemon.
     bool warming_up = false;
     member_reach reach = member_reach::good;
@@ -39,7 +40,8 @@
 /// The member on which to run a read that any member with a recent enough log can serve; nothing if none has an idle
 /// connection. `random` gives a number below its argument and breaks ties between nearly equal members, which daemons
 /// would otherwise all choose at once. Answers the load of many short reads on few slots: the leader keeps room for
-/// what only it can serve, slow members get less, draining and unreachable ones nothing while others are left.
+/// what only it can serve unless the replicas are behind, slow members get less, draining and unreachable ones nothing
+/// while others are left, and a member that refused the read is not asked again.
 /// Thread-safe if `random` is.
 [[nodiscard]] std::optional<std::string> choose_member(const std::vector<placement_candidate>& candidates,
                                                        const std::function<std::uint64_t(std::uint64_t)>& random);
--- a/src/dispatch/statement_attempt.cc
+++ b/src/dispatch/statement_attempt.cc
@@ -266,7 +266,7 @@
         return;
     }
     const bool on_leader = needs_leader(task, now);
-    const wait_prospects seen = prospects(task.request->policy, on_leader, task.deadline, now);
+    const wait_prospects seen = prospects(task, waiting(task.request->policy->service), now);
     const auto back_ms = std::chrono::duration_cast<std::chrono::milliseconds>(retry_after(seen)).count();
     const bool leaderless = on_leader && !seen->leader_known;
     const error_kind kind = leaderless ? error_kind::no_primary : error_kind::overloaded;
--- a/src/dispatch/statement_dispatcher.cc
+++ b/src/dispatch/statement_dispatcher.cc
@@ -178,7 +178,7 @@
         if (!exhausted && now >= task.not_before && try_place(task, now)) {
             continue;
         }
-        if (exhausted || !worth_waiting(prospects_of(task, ahead, now))) {
+        if (exhausted || !worth_waiting(prospects(task, ahead, now))) {
             fire(task, event::hopeless, nullptr, now);
             continue;
         }
--- a/src/dispatch/statement_dispatcher.h
+++ b/src/dispatch/statement_dispatcher.h
@@ -72,9 +72,6 @@
     /// Waiting statements of a service.
     [[nodiscard]] std::size_t waiting(const std::string& service) const;
 
-    /// Prospects of a statement of a route at `now`, as for a new one.
-    [[nodiscard]] wait_prospects prospects(const route& policy, bool needs_leader, instant deadline, instant now) const;
-
 private:
     enum class event : std::uint8_t {
         placed,
@@ -114,7 +111,7 @@
     [[nodiscard]] std::vector<placement_candidate> candidates(const statement_task& task, const read_floor& floor,
                                                               instant now) const;
     void start_on(statement_task& task, const std::string& member, connection_number connection, instant now);
-    [[nodiscard]] wait_prospects prospects_of(const statement_task& task, std::size_t ahead, instant now) const;
+    [[nodiscard]] wait_prospects prospects(const statement_task& task, std::size_t ahead, instant now) const;
     [[nodiscard]] duration typical_latency(const std::string& service, instant now) const;
 
     // Attempts (statement_attempt.cc).
--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -82,7 +82,8 @@
         list.push_back(placement_candidate{{.member = id,
                                             .leads = leads,
                                             .draining = each.entry->draining,
-                                            .holds_floor = holds && !task.excluded.contains(id),
+                                            .holds_floor = holds,
+                                            .refused = task.excluded.contains(id),
                                             .local = each.entry->data_center == data_center_,
                                             .warming_up = now - each.seen_at < each.entry->warm_up_left,
                                             .reach = each.health.reach(),
@@ -103,7 +104,7 @@
         // Nothing is idle: ask for one more connection wherever the budget allows it.
         for (const placement_candidate& each : list) {
             if (each->reach != member_reach::silent && each->reach != member_reach::down && !each->draining) {
-                static_cast<void>(pool_.acquire(each->member, wanted, now));
+                pool_.want(each->member, wanted.waiting, now);
             }
         }
         return false;
@@ -140,32 +141,32 @@
     return lowest == duration::max() ? unmeasured_latency : lowest;
 }
 
-wait_prospects statement_dispatcher::prospects_of(const statement_task& task, std::size_t ahead, instant now) const
+wait_prospects statement_dispatcher::prospects(const statement_task& task, std::size_t ahead, instant now) const
 {
-    wait_prospects seen = prospects(task.request->policy, needs_leader(task, now), task.deadline, now);
-    return with(seen, [ahead](wait_prospects_fields& fields) { fields.ahead = ahead; });
-}
-
-wait_prospects statement_dispatcher::prospects(const route& policy, bool needs_leader, instant deadline,
-                                               instant now) const
-{
-    const std::string& service = policy->service;
+    const std::string& service = task.request->policy->service;
     const lead_view& lead = hooks_.service(service).lead;
+    const auto floor = floor_of(task, now);
+    const bool on_leader = needs_leader(task, now);
+    // What the members' logs hold does not matter to a statement that only the leader can serve.
+    const auto list = candidates(task, floor.value_or(read_floor{}), now);
     std::size_t connections = 0;
-    for (const std::string& id : pool_.members_of(service)) {
-        if (!needs_leader || lead.leader() == id) {
-            const pooled_member& each = *pool_.member(id);
-            const bool reachable =
-                each.health.reach() == member_reach::good || each.health.reach() == member_reach::unknown;
-            connections += reachable ? std::max<std::size_t>(each.all.size(), 1) : 0;
+    duration service_time = duration::max();
+    for (const placement_candidate& each : list) {
+        const bool reachable = each->reach == member_reach::good || each->reach == member_reach::unknown;
+        const bool can_serve = on_leader ? each->leads : each->holds_floor && !each->refused;
+        if (reachable && can_serve) {
+            const bool shared = each->leads && !on_leader; // A read that leaves the leader alone while it works.
+            connections += shared ? 1 : std::max<std::size_t>(pool_.member(each->member)->all.size(), 1);
+            service_time = std::min(service_time, each->latency);
         }
     }
     return wait_prospects{{.now = now,
-                           .deadline = deadline,
-                           .service_time = typical_latency(service, now),
-                           .ahead = waiting(service),
+                           .target = task.arrived + task.request->policy->target_latency,
+                           .deadline = task.deadline,
+                           .service_time = connections == 0 ? unmeasured_latency : service_time,
+                           .ahead = ahead,
                            .connections = connections,
-                           .needs_leader = needs_leader,
+                           .needs_leader = on_leader || connections == 0,
                            .leader_known = lead.leader().has_value(),
                            .leader_lost = lead.lost_since()}};
 }
--- a/src/dispatch/wait_policy.cc
+++ b/src/dispatch/wait_policy.cc
@@ -41,7 +41,9 @@
 bool worth_waiting(const wait_prospects& prospects)
 {
     const auto wait = expected_wait(prospects);
-    return wait && prospects->now + *wait + prospects->service_time <= prospects->deadline;
+    const bool for_leader = prospects->needs_leader && !prospects->leader_known;
+    const instant limit = for_leader ? prospects->deadline : std::min(prospects->target, prospects->deadline);
+    return wait && prospects->now + *wait + prospects->service_time <= limit;
 }
 
 duration retry_after(const wait_prospects& prospects)
--- a/src/dispatch/wait_policy.h
+++ b/src/dispatch/wait_policy.h
@@ -11,6 +11,7 @@
 /// Fields of a waiting statement's prospects.
 struct wait_prospects_fields {
     instant now{};
+    instant target{};            ///< An answer after it is late.
     instant deadline{};          ///< After it nobody waits for the answer.
     duration service_time{};     ///< What the statement takes once it is sent.
     std::size_t ahead = 0;       ///< Statements that are served first.
@@ -28,8 +29,9 @@
 /// When a statement can probably be sent; nothing if that cannot be told. Thread-safe.
 [[nodiscard]] std::optional<duration> expected_wait(const wait_prospects& prospects);
 
-/// Whether to keep a statement waiting. One that cannot be answered before its deadline is refused at once, so that
-/// its caller can go elsewhere while there is time. Thread-safe.
+/// Whether to keep a statement waiting. One that waits for its turn is refused at once if its answer would be late: in
+/// an overload a longer queue makes every answer late and serves nobody more. One that waits for a leader may be late,
+/// because the change takes no capacity from others, but not past its deadline. Thread-safe.
 [[nodiscard]] bool worth_waiting(const wait_prospects& prospects);
 
 /// When a refused caller should come back. Thread-safe.
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -17,6 +17,9 @@
 /// Between two snapshots of the metrics.
 constexpr duration metrics_interval = std::chrono::seconds(1);
 
+/// Between two lines on each member's connections.
+constexpr duration description_interval = std::chrono::seconds(5);
+
 /// Evidence older than any staleness bound is of no use; bounds are a few seconds.
 constexpr duration evidence_lifetime = std::chrono::seconds(30);
 
@@ -57,6 +60,7 @@
     if (last_tick_ != instant{} && now - last_tick_ > stall_limit) {
         log(log_weight::notable, "process_stalled", "for_ms=" + std::to_string((now - last_tick_).count() / 1000));
         monitor_->stalled(now);
+        pool_->stalled(now);
     }
     last_tick_ = now;
     while (const auto due = timers_.take_due(now)) {
@@ -75,6 +79,12 @@
                     now);
     lifecycle_->able(directory_->configuration() && pool_->open_connections() > 0, now);
     lifecycle_->tick(now);
+    if (now >= next_description_) {
+        next_description_ = now + description_interval;
+        for (const auto& [id, member] : pool_->members()) {
+            log(log_weight::notable, "member_connections", pool_->describe(member));
+        }
+    }
     if (now >= next_metrics_) {
         next_metrics_ = now + metrics_interval;
         publish_metrics(now);
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -107,6 +107,7 @@
     instant now_{}; ///< Of the event in progress.
     instant last_tick_{};
     instant next_metrics_{};
+    instant next_description_{};
     timer_queue<std::function<void(instant)>> timers_;
     std::unique_ptr<directory> directory_;
     std::vector<std::unique_ptr<store_mirror>> mirrors_;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -132,7 +132,12 @@
     auto sessions = session_table::make(
         {.reply = options_.reply,
          .find_route = [this](const std::string& database) { return directory_->find_route(database); },
-         .configured = [this] { return directory_->configuration().has_value(); },
+         .refuse_start = [this](instant now) -> std::optional<error_kind> {
+             if (!lifecycle_->accepts(now)) {
+                 return error_kind::leaving;
+             }
+             return directory_->configuration() ? std::nullopt : std::optional(error_kind::not_ready);
+         },
          .submit = [this](const task_request& request, instant now) { return dispatcher_->submit(request, now); },
          .cancel = [this](task_number task, instant now) { dispatcher_->cancel(task, now); },
          .release = [this](connection_number connection, instant now) { pool_->release(connection, now); },
--- a/src/gateway/gateway_lifecycle.cc
+++ b/src/gateway/gateway_lifecycle.cc
@@ -126,10 +126,19 @@
     }
 }
 
-/// Closes each session at an instant of its own between the end of the rotation and half of the grace period.
+bool gateway_lifecycle::accepts(instant now) const
+{
+    return !drain_started_ || now - *drain_started_ <= out_of_rotation;
+}
+
+/// Closes sessions behind their next answer once the balancer has noticed, and those that stay idle at an instant of
+/// their own up to half of the grace period.
 void gateway_lifecycle::close_due_sessions(instant now)
 {
     const instant first = *drain_started_ + out_of_rotation;
+    if (now < first) {
+        return;
+    }
     const auto spread = static_cast<std::uint64_t>(
         std::max<duration>(options_.grace / 2 - out_of_rotation, std::chrono::milliseconds(100)).count());
     for (const session_number session : sessions_.sessions()) {
@@ -137,6 +146,7 @@
         if (added) {
             place->second = first + duration(static_cast<duration::rep>(options_.random(spread)));
         }
+        sessions_.close_after_answer(session);
         if (now >= place->second) {
             sessions_.close_when_idle(session, now);
         }
--- a/src/gateway/gateway_lifecycle.h
+++ b/src/gateway/gateway_lifecycle.h
@@ -44,8 +44,9 @@
     /// Closes sessions that are due while the daemon drains. To be called every few tens of milliseconds.
     void tick(instant now);
 
-    /// Whether the signal to end was received.
-    [[nodiscard]] bool ending() const { return drain_started_.has_value(); }
+    /// Whether new sessions are accepted at `now`. Once the balancer has had time to notice the drain, a new session is
+    /// refused before its first statement, and its caller goes elsewhere.
+    [[nodiscard]] bool accepts(instant now) const;
 
 private:
     enum class event : std::uint8_t { able, unable, terminate, sessions_gone, half_due, end_due, left_due };
@@ -70,7 +71,7 @@
     std::optional<chart_program<event, context>> program_;
     state_id state_{};
     std::optional<instant> drain_started_;
-    std::map<session_number, instant> close_at_; ///< Sessions that were open when the drain was noticed.
+    std::map<session_number, instant> close_at_; ///< When sessions that stay idle are closed.
 };
 
 } // namespace citronfall
--- a/src/lead/lead_monitor.cc
+++ b/src/lead/lead_monitor.cc
@@ -14,6 +14,13 @@
 /// statements take a few tens of milliseconds.
 constexpr duration answer_limit = std::chrono::milliseconds(200);
 
+/// While a replica applies its log late, reads need the oldest evidence that their age allows, so it is gathered this
+/// often; a gap between two observations makes a replica useless for as much longer.
+constexpr duration late_replica_interval = std::chrono::milliseconds(80);
+
+/// A replica that is further behind than this applies its log late.
+constexpr duration late_replica = std::chrono::milliseconds(150);
+
 /// A live member answers a probe within a round trip; this leaves room for a busy instance.
 constexpr duration probe_timeout = std::chrono::milliseconds(300);
 
@@ -67,8 +74,11 @@
     const auto oldest = pool_.oldest_exchange(leader);
     const bool overdue = oldest && now - std::max(*oldest, judged_from_) > answer_limit &&
                          (!answered_at || now - *answered_at > answer_limit);
-    const auto evidence = hooks_.service(service).evidence.newest();
-    const bool evidence_old = !evidence || now - *evidence > idle_limit;
+    const service_state& state = hooks_.service(service);
+    const bool lagging = std::any_of(state.progress.begin(), state.progress.end(),
+                                     [](const auto& each) { return each.second.lag() > late_replica; });
+    const auto evidence = state.evidence.newest();
+    const bool evidence_old = !evidence || now - *evidence > (lagging ? late_replica_interval : idle_limit);
     if (idle || overdue || evidence_old) {
         probe(service, leader, now);
     }
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace citronfall {
+namespace {
+
+/// Members answer the daemon's own statements at once, but for a status, which waits for a slot. A lost answer would
+/// otherwise keep the connection, of which members accept few, for good.
+constexpr duration own_answer_limit = std::chrono::milliseconds(800);
+
+} // namespace
 result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks)
 {
     std::unique_ptr<member_pool> pool(new member_pool(std::move(hooks)));
@@ -106,6 +113,7 @@
     for (const connection_number number : std::exchange(closed_, {})) {
         connections_.erase(number);
     }
+    end_silent(now);
     for (auto& [id, each] : members_) {
         close_surplus(each, now);
         keep_minimum(each, now);
@@ -113,6 +121,25 @@
     drop_finished_members();
 }
 
+/// Ends connections on which the answer to a statement of the daemon itself is overdue.
+void member_pool::end_silent(instant now)
+{
+    std::vector<connection_number> silent;
+    for (const auto& [number, each] : connections_) {
+        const bool own = !each.exchanges.empty() && !each.exchanges.front().measured;
+        if (own && now - std::max(each.exchanges.front().sent_at, judged_from_) > own_answer_limit) {
+            silent.push_back(number);
+        }
+    }
+    for (const connection_number number : silent) {
+        if (const pooled_connection* each = find(number)) {
+            hooks_.log("answer_overdue", "member=" + each->member + " connection=" + std::to_string(number));
+            hooks_.send(close_member{{.connection = number}});
+            on_closed(member_closed{{.connection = number, .end = connection_end::reset}}, now);
+        }
+    }
+}
+
 connection_demand member_pool::demand(const pooled_member& target) const
 {
     return {.limit = target.limit,
@@ -192,6 +219,15 @@
     return chosen;
 }
 
+void member_pool::want(const std::string& member, std::size_t waiting, instant now)
+{
+    const auto found = members_.find(member);
+    if (found != members_.end() && found->second.idle.empty()) {
+        found->second.waiting = waiting;
+        open(found->second, now);
+    }
+}
+
 void member_pool::send(connection_number connection, member_query query, exchange hooks)
 {
     pooled_connection* subject = find(connection);
@@ -266,6 +302,22 @@
     return open;
 }
 
+std::string member_pool::describe(const pooled_member& target) const
+{
+    std::map<std::string, std::size_t> states;
+    for (const connection_number number : target.all) {
+        const pooled_connection& each = connections_.at(number);
+        ++states[program_->state_name(each.state) + (each.exchanges.empty() ? "" : "_waiting")];
+    }
+    std::string text = "member=" + target.entry->id + " reach=" + member_reach_name(target.health.reach()) +
+                       " open=" + std::to_string(target.all.size()) + " running=" + std::to_string(target.running) +
+                       " waiting=" + std::to_string(target.waiting);
+    for (const auto& [state, count] : states) {
+        text += " " + state + "=" + std::to_string(count);
+    }
+    return text;
+}
+
 std::optional<instant> member_pool::oldest_exchange(const std::string& id) const
 {
     const pooled_member* target = member(id);
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -61,6 +61,9 @@
     /// there is none; one is opened then if the budget allows.
     [[nodiscard]] connection_number acquire(const std::string& member, const acquire_options& options, instant now);
 
+    /// Opens one more connection to the member if the budget allows it and none is idle; `waiting` statements want it.
+    void want(const std::string& member, std::size_t waiting, instant now);
+
     /// Sends one statement. Precondition: the connection is handed out.
     void send(connection_number connection, member_query query, exchange hooks);
 
@@ -90,9 +93,18 @@
     /// Oldest instant at which a measured exchange in progress with the member was sent, if any.
     [[nodiscard]] std::optional<instant> oldest_exchange(const std::string& id) const;
 
+    /// This process stood still until `now`: answers may wait unread, so silence until now proves nothing.
+    void stalled(instant now) { judged_from_ = now; }
+
     /// A probe of the member got no answer; it was sent at `sent_at`.
     void unanswered(const std::string& id, instant sent_at, instant now);
 
+    /// One line on the connections to a member: open, idle, being opened, and the states of those in use.
+    [[nodiscard]] std::string describe(const pooled_member& target) const;
+
+    /// Members by id, listed or not.
+    [[nodiscard]] const std::map<std::string, pooled_member>& members() const { return members_; }
+
     /// Connections opened so far, for counters.
     [[nodiscard]] std::uint64_t opened_total() const { return opened_total_; }
 
@@ -116,8 +128,8 @@
     void on_opened(connection_number number, instant now);
     void on_reply(const member_reply& reply, instant now);
     void on_closed(const member_closed& closed, instant now);
+    void end_silent(instant now);
     void note_failed_attempt(pooled_member& target, const member_closed& closed, instant opened_at, instant now);
-    void fail_exchanges(pooled_connection& subject, connection_end end, instant now);
     void make_idle(pooled_connection& subject, instant now);
     void forget(pooled_connection& subject);
     void update_reach(pooled_member& target, member_reach before, instant now);
@@ -131,6 +143,7 @@
     connection_number last_connection_ = 0;
     std::uint64_t opened_total_ = 0;
     std::size_t daemons_ = 1;
+    instant judged_from_{};
 };
 
 } // namespace citronfall
--- a/src/pool/member_pool_events.cc
+++ b/src/pool/member_pool_events.cc
@@ -1,5 +1,7 @@
 #include "pool/member_pool.h"
 
+#include "citronfall/answer_table.h"
+
 #include <utility>
 
 namespace citronfall {
@@ -137,9 +139,11 @@
         target.next_attempt = now + rejected_pause;
         break;
     }
-    hooks_.log("member_connect_failed", "member=" + target.entry->id + " address=" + target.entry->address +
-                                            " reason=" + connection_end_name(closed->end) +
-                                            (closed->failure ? " error=" + (*closed->failure)->detail : std::string{}));
+    hooks_.log(
+        "member_connect_failed",
+        "member=" + target.entry->id + " address=" + target.entry->address +
+            " reason=" + connection_end_name(closed->end) +
+            (closed->failure ? " error=" + std::string(answer_for((*closed->failure)->kind).name) : std::string{}));
 }
 
 } // namespace citronfall
