--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -53,7 +53,7 @@
 {
     const std::string& service = task.request->policy->service;
     const auto& leader = hooks_.service(service).lead.leader();
-    if (!leader) {
+    if (!leader || !pool_.takes_work(*leader, now)) {
         return false;
     }
     const connection_number connection =
@@ -75,6 +75,9 @@
     const duration typical = typical_latency(service, now);
     std::vector<placement_candidate> list;
     for (const std::string& id : pool_.members_of(service)) {
+        if (!pool_.takes_work(id, now)) {
+            continue;
+        }
         const pooled_member& each = *pool_.member(id);
         const bool leads = known.lead.leader() == id;
         // The leader holds every position that it or this daemon observed.
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -10,6 +10,9 @@
 /// Length of a watch without events. The connection's keep-alive notices a silent path much sooner.
 constexpr duration watch_wait = std::chrono::seconds(10);
 
+/// Time before the drain bound at which a leaving member gets no new work, for news that arrived late.
+constexpr duration drain_reserve = std::chrono::milliseconds(1500);
+
 } // namespace
 
 result<done> gateway_engine::build()
@@ -40,7 +43,8 @@
                             instant now) { member_answered(member, reply, now); },
          .reach_changed = [this](const std::string& member, member_reach reach,
                                  instant now) { reach_changed(member, reach, now); },
-         .log = notable});
+         .log = notable},
+        options_.settings->drain_bound - drain_reserve);
     if (!ok(pool)) {
         return error_of(pool);
     }
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -12,9 +12,9 @@
 constexpr duration own_answer_limit = std::chrono::milliseconds(800);
 
 } // namespace
-result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks)
+result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks, duration leaving_bound)
 {
-    std::unique_ptr<member_pool> pool(new member_pool(std::move(hooks)));
+    std::unique_ptr<member_pool> pool(new member_pool(std::move(hooks), leaving_bound));
     if (const auto bound = pool->bind(); !ok(bound)) {
         return error_of(bound);
     }
@@ -97,6 +97,11 @@
             each.next_attempt = now;
         }
         each.entry = entry;
+        if (!entry->draining) {
+            each.draining_since.reset();
+        } else if (!each.draining_since) {
+            each.draining_since = now;
+        }
         const auto limit = limits.find(entry->service);
         each.limit = limit == limits.end() ? 0 : limit->second;
     }
@@ -282,6 +287,15 @@
     return found == members_.end() ? nullptr : &found->second;
 }
 
+bool member_pool::takes_work(const std::string& id, instant now) const
+{
+    const pooled_member* target = member(id);
+    if (target == nullptr || !target->listed) {
+        return false;
+    }
+    return !target->draining_since || now - *target->draining_since < leaving_bound_;
+}
+
 std::vector<std::string> member_pool::members_of(const std::string& service) const
 {
     std::vector<std::string> ids;
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -44,8 +44,8 @@
 /// Not thread-safe: owned by the decision thread.
 class member_pool {
 public:
-    /// Error (bad_request): the chart does not fit.
-    [[nodiscard]] static result<std::unique_ptr<member_pool>> make(member_pool_hooks hooks);
+    /// A leaving member gets no new work after `leaving_bound`. Error (bad_request): the chart does not fit.
+    [[nodiscard]] static result<std::unique_ptr<member_pool>> make(member_pool_hooks hooks, duration leaving_bound);
 
     /// The entries that the store lists now, the limits by service, and the number of live daemons.
     void configure(const std::map<std::string, member_entry>& entries,
@@ -84,6 +84,9 @@
     /// The member; null if the store does not list it and no connection is left.
     [[nodiscard]] const pooled_member* member(const std::string& id) const;
 
+    /// Whether the member may get new work: it is listed and was not seen leaving for longer than the pool's bound.
+    [[nodiscard]] bool takes_work(const std::string& id, instant now) const;
+
     /// Ids of the members of a service that the store lists.
     [[nodiscard]] std::vector<std::string> members_of(const std::string& service) const;
 
@@ -116,7 +119,10 @@
         instant now;
     };
 
-    explicit member_pool(member_pool_hooks hooks) : hooks_(std::move(hooks)) {}
+    member_pool(member_pool_hooks hooks, duration leaving_bound)
+        : hooks_(std::move(hooks)), leaving_bound_(leaving_bound)
+    {
+    }
 
     result<done> bind();
     static chart_bindings<context> bindings();
@@ -136,6 +142,7 @@
     [[nodiscard]] connection_demand demand(const pooled_member& target) const;
 
     member_pool_hooks hooks_;
+    duration leaving_bound_; ///< How long a leaving member still gets new work where nobody else can take it.
     std::optional<chart_program<event, context>> program_;
     std::map<std::string, pooled_member> members_;
     std::map<connection_number, pooled_connection> connections_;
--- a/src/pool/pooled_member.h
+++ b/src/pool/pooled_member.h
@@ -27,6 +27,7 @@
     std::optional<instant> refused_at; ///< Last refusal for lack of room.
     instant next_attempt{};            ///< No connection is opened before.
     instant seen_at{};                 ///< When the entry was first seen; its warm-up time counts from here.
+    std::optional<instant> draining_since; ///< When the member was first seen to be leaving.
     bool listed = true;                ///< The entry still stands in the store.
 };
 
