Keep half of a member's connections free for daemons that start anew

Cause: connections of instances that lost power stay counted at a member for seconds, so restarted daemons were refused.

--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -5,11 +5,13 @@
 namespace citronfall {
 namespace {
 
-/// Part of a member's limit that is shared out; the rest serves daemons that start and those that borrow.
-constexpr double shared_part = 0.9;
+/// Part of a member's limit that daemons keep open without use. Connections of instances that lost power stay counted
+/// for seconds, so the daemons that start anew need about as many again.
+constexpr double kept_part = 0.45;
 
-/// A daemon holds at most this many times its fair share, so that one daemon's crest does not lock the others out.
-constexpr std::size_t borrow_factor = 2;
+/// A daemon holds at most this many times its equal part of the limit, so that one daemon's crest does not lock the
+/// others out.
+constexpr double borrow_factor = 1.3;
 
 /// Connections opened at the same time: each occupies a slot of the member while it is set up.
 constexpr std::size_t max_opening = 2;
@@ -18,14 +20,19 @@
 constexpr duration refusal_pause = std::chrono::milliseconds(500);
 
 /// Idle time after which a borrowed connection is closed. Shorter times open and close connections with each wave.
-constexpr duration borrowed_idle = std::chrono::seconds(2);
+constexpr duration borrowed_idle = std::chrono::seconds(1);
+
+std::size_t part_of(double limit, std::size_t daemons)
+{
+    return std::max<std::size_t>(static_cast<std::size_t>(limit / static_cast<double>(std::max<std::size_t>(daemons, 1))),
+                                 1);
+}
 
 } // namespace
 
 std::size_t fair_share(std::uint32_t limit, std::size_t daemons)
 {
-    const double part = limit * shared_part / static_cast<double>(std::max<std::size_t>(daemons, 1));
-    return std::max<std::size_t>(static_cast<std::size_t>(part), 1);
+    return part_of(limit * kept_part, daemons);
 }
 
 bool may_open(const connection_demand& demand, instant now)
@@ -39,7 +46,7 @@
     if (demand.open == 0) {
         return true;
     }
-    return demand.waiting > demand.opening && demand.open < borrow_factor * fair_share(demand.limit, demand.daemons);
+    return demand.waiting > demand.opening && demand.open < std::max<std::size_t>(part_of(demand.limit * borrow_factor, demand.daemons), 2);
 }
 
 bool should_close(const connection_demand& demand, instant idle_since, instant now)
--- a/src/pool/connection_budget.h
+++ b/src/pool/connection_budget.h
@@ -19,7 +19,7 @@
 };
 
 /// Connections to one member that this daemon may keep although it does not use them: an equal part of the member's
-/// limit, less a reserve for daemons that start, and at least one. Thread-safe.
+/// limit, less a reserve for daemons that start anew, and at least one. Thread-safe.
 [[nodiscard]] std::size_t fair_share(std::uint32_t limit, std::size_t daemons);
 
 /// Whether to open one more connection now. Beyond its fair share a daemon borrows what others leave unused; the
