Gather changes of entries into fewer calls and prefer members of the own data centre

Cause: each change of an entry ended a watch on every daemon at once; a watch lasted 10 s of the 30 s allowed.

--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -15,8 +15,9 @@
 /// What one attempt at a member that probably lacks the required position costs: its refusal and the next attempt.
 constexpr duration behind_cost = std::chrono::milliseconds(30);
 
-/// Round trip between data centres of one region.
-constexpr duration remote_cost = std::chrono::milliseconds(2);
+/// What an answer from another data centre counts more: its round trip, and traffic between data centres that a local
+/// answer saves.
+constexpr duration remote_cost = std::chrono::milliseconds(6);
 
 /// Connections to the leader that reads leave free for statements that only the leader can serve.
 constexpr std::size_t leader_reserve = 1;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -7,8 +7,14 @@
 namespace citronfall {
 namespace {
 
-/// Length of a watch without events. The connection's keep-alive notices a silent path much sooner.
-constexpr duration watch_wait = std::chrono::seconds(10);
+/// Length of a watch without events; the store allows 30 s. The connection's keep-alive notices a silent path much
+/// sooner.
+constexpr duration watch_wait = std::chrono::seconds(25);
+
+/// Between two calls for changes. A configuration is due on all daemons within seconds; the entries of members and
+/// daemons change several at a time when instances start.
+constexpr duration configuration_pause = std::chrono::milliseconds(20);
+constexpr duration entries_pause = std::chrono::milliseconds(400);
 
 /// Time before the drain bound at which a leaving member gets no new work, for news that arrived late.
 constexpr duration drain_reserve = std::chrono::milliseconds(1500);
@@ -98,6 +104,8 @@
          {options_.configuration_prefix, options_.directory.keys.members, options_.own_prefix}) {
         auto mirror = store_mirror::make({.prefix = prefix,
                                           .watch_wait = watch_wait,
+                                          .gather_pause = prefix == options_.configuration_prefix ? configuration_pause
+                                                                                                  : entries_pause,
                                           .call = call,
                                           .changed = [this](const store_item& item) { item_changed(item); },
                                           .log = notable});
--- a/src/mirror/mirror_relay.cc
+++ b/src/mirror/mirror_relay.cc
@@ -7,7 +7,7 @@
 
 /// Between two digests to the peers. With the time to ask and answer it bounds how much later a daemon without the
 /// store learns of a change.
-constexpr duration digest_interval = std::chrono::milliseconds(700);
+constexpr duration digest_interval = std::chrono::milliseconds(1000);
 
 /// The store's own watch usually tells a change sooner than a peer's digest; only a daemon that is still behind after
 /// this time asks the peer.
--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -15,10 +15,6 @@
 /// Pause after a call that failed. All daemons together stay far below the store's rates.
 constexpr duration failure_pause = std::chrono::milliseconds(250);
 
-/// Pause after a watch that told of changes: further changes of the same moment then arrive with one call, which the
-/// platform prices.
-constexpr duration gather_pause = std::chrono::milliseconds(50);
-
 } // namespace
 
 store_mirror::store_mirror(store_mirror_options options)
@@ -90,7 +86,7 @@
              }},
             {"pause_shortly",
              [](context& each) {
-                 each.mirror.next_attempt_ = each.now + gather_pause;
+                 each.mirror.next_attempt_ = each.now + each.mirror.options_.gather_pause;
              }},
             {"start_watch",
              [](context& each) {
