Repeat a first reading of the store that hangs

Cause: a daemon that started while the store was silent waited 1.5 s for a call that is never answered. Test: tests/store_mirror_test.cc.

--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -6,8 +6,12 @@
 namespace citronfall {
 namespace {
 
-/// Bound of one page read; a slow store answers in a quarter of a second.
-constexpr duration read_timeout = std::chrono::milliseconds(1500);
+/// Bound of the first page read. A store in good order answers in milliseconds; a call that was sent while the store was
+/// silent is never answered, and until the first reading is done the daemon cannot serve.
+constexpr duration first_read_timeout = std::chrono::milliseconds(300);
+
+/// Greatest bound of a page read, which doubles with each failure for a store that is merely slow.
+constexpr duration longest_read_timeout = std::chrono::milliseconds(2400);
 
 /// What a watch may take beyond its own wait.
 constexpr duration watch_slack = std::chrono::milliseconds(1500);
@@ -15,10 +19,13 @@
 /// Pause after a call that failed. All daemons together stay far below the store's rates.
 constexpr duration failure_pause = std::chrono::milliseconds(250);
 
+/// The same while nothing was read yet and the daemon cannot serve.
+constexpr duration unread_pause = std::chrono::milliseconds(100);
+
 } // namespace
 
 store_mirror::store_mirror(store_mirror_options options)
-    : options_(std::move(options)), table_([this](const store_item& item) { options_.changed(item); })
+    : options_(std::move(options)), read_timeout_(first_read_timeout), table_([this](const store_item& item) { options_.changed(item); })
 {
 }
 
@@ -139,6 +146,7 @@
         if (!live_ && failed_at_) {
             options_.log("store_regained", "prefix=" + options_.prefix);
         }
+        read_timeout_ = first_read_timeout;
         live_ = live_ || what == event::changed || (what == event::page_read && !answer->more_pages);
     }
     fire(what, &answer, now);
@@ -155,7 +163,7 @@
 void store_mirror::read_page()
 {
     const std::string after = page_items_.empty() ? std::string{} : page_items_.back()->key;
-    pending_ = options_.call(read_range{{.prefix = options_.prefix, .after_key = after}}, read_timeout);
+    pending_ = options_.call(read_range{{.prefix = options_.prefix, .after_key = after}}, read_timeout_);
 }
 
 void store_mirror::add_page(const store_answer& page)
@@ -181,7 +189,8 @@
     }
     live_ = false;
     failed_at_ = now;
-    next_attempt_ = now + failure_pause;
+    read_timeout_ = std::min(read_timeout_ * 2, longest_read_timeout);
+    next_attempt_ = now + (watched_after_ == 0 ? unread_pause : failure_pause);
 }
 
 } // namespace citronfall
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -76,6 +76,7 @@
     [[nodiscard]] event event_of(const store_answer& answer) const;
 
     store_mirror_options options_;
+    duration read_timeout_; ///< Of the next page read.
     mirror_table table_;
     std::optional<chart_program<event, context>> program_;
     state_id state_{};
