--- a/src/dispatch/statement_dispatcher.cc
+++ b/src/dispatch/statement_dispatcher.cc
@@ -178,7 +178,9 @@
         if (!exhausted && now >= task.not_before && try_place(task, now)) {
             continue;
         }
-        if (exhausted || !worth_waiting(prospects(task, ahead, now))) {
+        const wait_prospects seen = prospects(task, ahead, now);
+        task.waited_for_leader = task.waited_for_leader || (seen->needs_leader && !seen->leader_known);
+        if (exhausted || !worth_waiting(seen)) {
             fire(task, event::hopeless, nullptr, now);
             continue;
         }
--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -163,15 +163,16 @@
             service_time = std::min(service_time, each->latency);
         }
     }
-    return wait_prospects{{.now = now,
-                           .target = task.arrived + task.request->policy->target_latency,
-                           .deadline = task.deadline,
-                           .service_time = connections == 0 ? unmeasured_latency : service_time,
-                           .ahead = ahead,
-                           .connections = connections,
-                           .needs_leader = on_leader || connections == 0,
-                           .leader_known = lead.leader().has_value(),
-                           .leader_lost = lead.lost_since()}};
+    return wait_prospects{
+        {.now = now,
+         .target = task.waited_for_leader ? task.deadline : task.arrived + task.request->policy->target_latency,
+         .deadline = task.deadline,
+         .service_time = connections == 0 ? unmeasured_latency : service_time,
+         .ahead = ahead,
+         .connections = connections,
+         .needs_leader = on_leader || connections == 0,
+         .leader_known = lead.leader().has_value(),
+         .leader_lost = lead.lost_since()}};
 }
 
 } // namespace citronfall
--- a/src/dispatch/statement_task.h
+++ b/src/dispatch/statement_task.h
@@ -104,6 +104,7 @@
     std::optional<error> last_refusal; ///< Why the last attempt did not run.
     bool sent_statement = false;       ///< The present attempt went beyond its preparation.
     bool may_have_run = false;         ///< An attempt was sent and lost.
+    bool waited_for_leader = false;    ///< It is late through no queue, and is still wanted.
     std::size_t setup_left = 0;        ///< Answers of the setup that are still to come.
     instant sent_at{};
 };
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -102,13 +102,13 @@
     std::vector<store_mirror*> all;
     for (const std::string& prefix :
          {options_.configuration_prefix, options_.directory.keys.members, options_.own_prefix}) {
-        auto mirror = store_mirror::make({.prefix = prefix,
-                                          .watch_wait = watch_wait,
-                                          .gather_pause = prefix == options_.configuration_prefix ? configuration_pause
-                                                                                                  : entries_pause,
-                                          .call = call,
-                                          .changed = [this](const store_item& item) { item_changed(item); },
-                                          .log = notable});
+        auto mirror = store_mirror::make(
+            {.prefix = prefix,
+             .watch_wait = watch_wait,
+             .gather_pause = prefix == options_.configuration_prefix ? configuration_pause : entries_pause,
+             .call = call,
+             .changed = [this](const store_item& item) { item_changed(item); },
+             .log = notable});
         if (!ok(mirror)) {
             return error_of(mirror);
         }
--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -6,8 +6,8 @@
 namespace citronfall {
 namespace {
 
-/// Bound of the first page read. A store in good order answers in milliseconds; a call that was sent while the store was
-/// silent is never answered, and until the first reading is done the daemon cannot serve.
+/// Bound of the first page read. A store in good order answers in milliseconds; a call that was sent while the store
+/// was silent is never answered, and until the first reading is done the daemon cannot serve.
 constexpr duration first_read_timeout = std::chrono::milliseconds(300);
 
 /// Greatest bound of a page read, which doubles with each failure for a store that is merely slow.
@@ -25,7 +25,8 @@
 } // namespace
 
 store_mirror::store_mirror(store_mirror_options options)
-    : options_(std::move(options)), read_timeout_(first_read_timeout), table_([this](const store_item& item) { options_.changed(item); })
+    : options_(std::move(options)), read_timeout_(first_read_timeout),
+      table_([this](const store_item& item) { options_.changed(item); })
 {
 }
 
--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -24,8 +24,8 @@
 
 std::size_t part_of(double limit, std::size_t daemons)
 {
-    return std::max<std::size_t>(static_cast<std::size_t>(limit / static_cast<double>(std::max<std::size_t>(daemons, 1))),
-                                 1);
+    return std::max<std::size_t>(
+        static_cast<std::size_t>(limit / static_cast<double>(std::max<std::size_t>(daemons, 1))), 1);
 }
 
 } // namespace
@@ -46,7 +46,8 @@
     if (demand.open == 0) {
         return true;
     }
-    return demand.waiting > demand.opening && demand.open < std::max<std::size_t>(part_of(demand.limit * borrow_factor, demand.daemons), 2);
+    return demand.waiting > demand.opening &&
+           demand.open < std::max<std::size_t>(part_of(demand.limit * borrow_factor, demand.daemons), 2);
 }
 
 bool should_close(const connection_demand& demand, instant idle_since, instant now)
--- a/src/pool/pooled_member.h
+++ b/src/pool/pooled_member.h
@@ -24,11 +24,11 @@
     std::size_t waiting = 0; ///< Statements that found no idle connection since the last one became idle.
     member_health health;
     latency_estimate latency;
-    std::optional<instant> refused_at; ///< Last refusal for lack of room.
-    instant next_attempt{};            ///< No connection is opened before.
-    instant seen_at{};                 ///< When the entry was first seen; its warm-up time counts from here.
+    std::optional<instant> refused_at;     ///< Last refusal for lack of room.
+    instant next_attempt{};                ///< No connection is opened before.
+    instant seen_at{};                     ///< When the entry was first seen; its warm-up time counts from here.
     std::optional<instant> draining_since; ///< When the member was first seen to be leaving.
-    bool listed = true;                ///< The entry still stands in the store.
+    bool listed = true;                    ///< The entry still stands in the store.
 };
 
 } // namespace citronfall
--- /dev/null
+++ b/tests/evidence_test.cc
@@ -0,0 +1,150 @@
+#include "lead/evidence_log.h"
+#include "lead/lead_view.h"
+#include "lead/replica_progress.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace citronfall;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start{std::chrono::seconds(1000)};
+
+log_position at(term_number term, log_index index)
+{
+    return log_position{{.term = term, .index = index}};
+}
+
+observation seen(duration later, log_position position)
+{
+    return observation{{.sent_at = start + later, .position = position}};
+}
+
+} // namespace
+
+TEST_CASE("evidence gives the lowest position that covers the wanted instant", "[evidence]")
+{
+    evidence_log log;
+    log.add(seen(0ms, at(1, 10)));
+    log.add(seen(100ms, at(1, 20)));
+    log.add(seen(200ms, at(1, 30)));
+    CHECK((*log.lowest_since(start))->position == at(1, 10));
+    CHECK((*log.lowest_since(start + 1ms))->position == at(1, 20));
+    CHECK_FALSE(log.lowest_since(start + 201ms));
+}
+
+TEST_CASE("evidence never covers less than an always-primary reader would see", "[evidence]")
+{
+    // Differential: a commit acknowledged before the wanted instant is at or below the position that is given, for any
+    // order in which observations arrive. The naive reader asks the primary itself.
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        evidence_log log;
+        std::vector<std::pair<instant, log_index>> acknowledged; // By time.
+        std::vector<observation> pending;
+        log_index index = 0;
+        for (int i = 0; i < 300; ++i) {
+            const instant now = start + 5ms * i;
+            if (random() % 3 == 0) {
+                acknowledged.emplace_back(now, ++index);
+            }
+            if (random() % 4 == 0) {
+                // Sent now, processed a little later: the position may already hold later commits.
+                pending.push_back(observation{{.sent_at = now, .position = at(1, index + random() % 2)}});
+            }
+            if (pending.size() > 3) {
+                const std::size_t which = random() % pending.size();
+                log.add(pending[which]);
+                pending.erase(pending.begin() + static_cast<std::ptrdiff_t>(which));
+            }
+            const instant wanted = now - std::chrono::milliseconds(random() % 500);
+            const auto floor = log.lowest_since(wanted);
+            for (const auto& [when, number] : acknowledged) {
+                if (floor && when < wanted) {
+                    REQUIRE((*floor)->position->index >= number);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("the lead goes to the newest proof, not to the answer that arrives last", "[evidence]")
+{
+    struct row {
+        const char* what;
+        duration sent;
+        const char* member;
+        const char* expected;
+    };
+    // Hostile cases: after b proved its lead at 100 ms.
+    const row rows[] = {
+        {"an older proof of the former leader arrives late", 50ms, "a", "b"},
+        {"a newer proof of another member", 150ms, "c", "c"},
+        {"a newer proof of the same member", 150ms, "b", "b"},
+    };
+    for (const row& each : rows) {
+        INFO(each.what);
+        lead_view lead;
+        lead.proved("a", 1, start);
+        lead.proved("b", 2, start + 100ms);
+        lead.proved(each.member, 2, start + each.sent);
+        CHECK(lead.leader() == std::string(each.expected));
+    }
+}
+
+TEST_CASE("a proof sent before the loss does not bring a leader back", "[evidence]")
+{
+    // Guards against an answer that was under way when the connection broke.
+    lead_view lead;
+    lead.proved("a", 1, start);
+    CHECK(lead.lost("a", start + 100ms));
+    CHECK_FALSE(lead.proved("a", 1, start + 50ms));
+    CHECK_FALSE(lead.leader());
+    CHECK(lead.proved("a", 1, start + 150ms));
+    CHECK(lead.leader() == std::string("a"));
+}
+
+TEST_CASE("losing another member than the leader changes nothing", "[evidence]")
+{
+    lead_view lead;
+    lead.proved("a", 1, start);
+    CHECK_FALSE(lead.lost("b", start));
+    CHECK(lead.leader() == std::string("a"));
+}
+
+TEST_CASE("a replica that applies late is not expected to hold young positions", "[evidence]")
+{
+    evidence_log log;
+    replica_progress replica;
+    log.add(seen(0ms, at(1, 10)));
+    log.add(seen(100ms, at(1, 20)));
+    // At 600 ms the replica still lacks what the primary held at 100 ms: at least 500 ms behind.
+    replica.answered(at(1, 10), log, start + 600ms);
+    CHECK_FALSE(replica.holds(read_floor{{.position = at(1, 20), .known_since = start + 300ms}}, start + 700ms));
+    CHECK(replica.holds(read_floor{{.position = at(1, 20), .known_since = start + 100ms}}, start + 700ms));
+    CHECK(replica.holds(read_floor{{.position = at(1, 10), .known_since = start + 690ms}}, start + 700ms));
+}
+
+TEST_CASE("a replica that holds the newest known position is not behind", "[evidence]")
+{
+    // Guards against idle services whose replicas look minutes behind because nothing was written.
+    evidence_log log;
+    replica_progress replica;
+    log.add(seen(0ms, at(1, 10)));
+    replica.answered(at(1, 10), log, start + 10s);
+    CHECK(replica.lag() == 0ms);
+}
+
+TEST_CASE("an estimate that nothing confirmed is forgotten", "[evidence]")
+{
+    evidence_log log;
+    replica_progress replica;
+    replica.refused(read_floor{{.position = at(1, 5), .known_since = start}}, start + 2s);
+    const read_floor young{{.position = at(1, 6), .known_since = start + 2s}};
+    CHECK_FALSE(replica.holds(young, start + 2100ms));
+    CHECK(replica.holds(young, start + 4s));
+}
--- a/tests/store_mirror_test.cc
+++ b/tests/store_mirror_test.cc
@@ -31,7 +31,9 @@
                                                 return sent.back().number;
                                             },
                                         .changed = [this](const store_item& item) { changed.push_back(item); },
-                                        .log = [](const std::string&, const std::string&) {}});
+                                        .log =
+                                            [](const std::string&, const std::string&) {
+                                            }});
         REQUIRE(ok(made));
         mirror = take(std::move(made));
     }
