--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,396 @@
+#include "platform/base64.h"
+#include "platform/caller_codec.h"
+#include "platform/entry_codec.h"
+#include "platform/error_words.h"
+#include "platform/line_framer.h"
+#include "platform/member_codec.h"
+#include "platform/settings_codec.h"
+#include "platform/store_codec.h"
+
+#include "citronfall/answer_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <string>
+
+using namespace citronfall;
+using namespace citronfall::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+caller_event decoded(const std::string& line)
+{
+    return caller_codec::decode(7, true, line);
+}
+
+const char* good_entry = R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":3,)"
+                         R"("State":"ready","WarmupLeftMs":0,"DbRole":"replica","Seq":4,"born":17})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+store_call call_with(call_body body)
+{
+    return store_call{{.number = 3, .timeout = 1s, .body = std::move(body)}};
+}
+
+} // namespace
+
+TEST_CASE("lines are cut at CR LF however the bytes arrive", "[platform_codec]")
+{
+    line_framer framer;
+    const std::string bytes = "QUERY a READ x\r\nTERMINATE\r\n";
+    std::vector<std::string> lines;
+    for (const char c : bytes) {
+        framer.add(std::string(1, c));
+        const auto next = framer.next();
+        REQUIRE(ok(next));
+        if (value_of(next)) {
+            lines.push_back(*value_of(next));
+        }
+    }
+    CHECK(lines == std::vector<std::string>{"QUERY a READ x", "TERMINATE"});
+    CHECK(framer.pending() == 0);
+}
+
+TEST_CASE("bytes that another reader could cut differently are refused", "[platform_codec]")
+{
+    // Guards against a statement that is smuggled inside another one.
+    for (const std::string bytes :
+         {"QUERY a READ x\nQUERY b WRITE y z\r\n", "QUERY a READ x\rWRITE y\r\n", "\n", "QUERY a READ \x01\r\n"}) {
+        line_framer framer;
+        framer.add(bytes);
+        CHECK_FALSE(ok(framer.next()));
+    }
+}
+
+TEST_CASE("an endless line is refused with bounded memory", "[platform_codec]")
+{
+    line_framer framer;
+    const std::string block(64 * 1024, 'x');
+    std::size_t added = 0;
+    while (added <= 2 * line_framer::max_line) {
+        framer.add(block);
+        added += block.size();
+        const auto next = framer.next();
+        if (!ok(next)) {
+            CHECK(error_of(next)->kind == error_kind::too_large);
+            break;
+        }
+    }
+    CHECK(added <= line_framer::max_line + 2 * block.size());
+}
+
+TEST_CASE("statements of callers are read by the protocol's grammar", "[platform_codec]")
+{
+    struct row {
+        const char* text;
+        statement_verb verb;
+    };
+    const row rows[] = {{"BEGIN", statement_verb::begin},
+                        {"BEGIN READ", statement_verb::begin_read_only},
+                        {"COMMIT", statement_verb::commit},
+                        {"ROLLBACK", statement_verb::rollback},
+                        {"READ 1a4", statement_verb::read},
+                        {"WRITE 1a4 some data", statement_verb::write},
+                        {"SET name a value", statement_verb::set},
+                        {"PREPARE s1 WRITE q2c", statement_verb::prepare},
+                        {"EXECUTE s1 1a4 data", statement_verb::execute},
+                        {"DEALLOCATE s1", statement_verb::deallocate}};
+    for (const row& each : rows) {
+        INFO(each.text);
+        const auto event = decoded("QUERY id1 " + std::string(each.text));
+        const auto* read = std::get_if<caller_statement>(&event);
+        REQUIRE(read != nullptr);
+        CHECK((*read)->query->verb == each.verb);
+        CHECK((*read)->query->text == each.text);
+        CHECK((*read)->request_id == "id1");
+    }
+}
+
+TEST_CASE("anything else of a caller is malformed", "[platform_codec]")
+{
+    struct row {
+        const char* line;
+        bool fatal;
+    };
+    // AFTER is a prefix between daemons and members; "-" is the daemons' own request id.
+    const row rows[] = {{"QUERY id", false},
+                        {"QUERY id NONSENSE", false},
+                        {"QUERY id AFTER 1.2 READ x", false},
+                        {"QUERY id BEGIN WRITE", false},
+                        {"QUERY id PREPARE s SIDEWAYS q", false},
+                        {"QUERY id SET name", false},
+                        {"QUERY id DEALLOCATE a b", false},
+                        {"QUERY - READ x", false},
+                        {"QUERY  READ x", false},
+                        {"STARTUP other me", true},
+                        {"HELLO", true},
+                        {"", true}};
+    for (const row& each : rows) {
+        INFO(each.line);
+        const auto event = decoded(each.line);
+        const auto* read = std::get_if<caller_malformed>(&event);
+        REQUIRE(read != nullptr);
+        CHECK((*read)->fatal == each.fatal);
+    }
+}
+
+TEST_CASE("a statement before the session's start ends the connection", "[platform_codec]")
+{
+    const auto event = caller_codec::decode(7, false, "QUERY id READ x");
+    REQUIRE(std::holds_alternative<caller_malformed>(event));
+    CHECK(std::get<caller_malformed>(event)->fatal);
+}
+
+TEST_CASE("random bytes are never taken for a statement that runs", "[platform_codec]")
+{
+    // Fuzzes framer and codec: no crash, and nothing but the grammar's verbs gets through.
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        const std::string parts[] = {"QUERY ", "STARTUP ", "READ ", "WRITE ", "\r\n",   "\n",
+                                     "\r",     " ",        "id",    "-",      "AFTER ", std::string(1, '\0'),
+                                     "\xff"};
+        line_framer framer;
+        for (int i = 0; i < 200; ++i) {
+            framer.add(parts[random() % std::size(parts)]);
+            const auto next = framer.next();
+            if (!ok(next)) {
+                break;
+            }
+            if (value_of(next)) {
+                const auto event = decoded(*value_of(next));
+                if (const auto* read = std::get_if<caller_statement>(&event)) {
+                    REQUIRE((*read)->query->text.find_first_of("\r\n") == std::string::npos);
+                    REQUIRE((*read)->request_id != "-");
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("replies to callers have the protocol's shape", "[platform_codec]")
+{
+    CHECK(caller_codec::encode(session_ready{{.session = 1}}) == "READY I -\r\n");
+    CHECK(caller_codec::encode(statement_reply{{.session = 1,
+                                                .rows = {"a b"},
+                                                .receipt = "7.1",
+                                                .state = transaction_state::open,
+                                                .position = log_position{{.term = 3, .index = 12}}}}) ==
+          "ROW a b\r\nCOMPLETE 7.1\r\nREADY T 3.12\r\n");
+    CHECK(caller_codec::encode(
+              statement_reply{{.session = 1, .failure = error{{.kind = error_kind::overloaded, .detail = "later"}}}}) ==
+          "ERROR BUSY later\r\nREADY I -\r\n");
+    CHECK(caller_codec::encode(session_close{{.session = 1}}).empty());
+}
+
+TEST_CASE("words that promise that nothing was kept stand only for errors without effect", "[platform_codec]")
+{
+    // Guards against a new error kind that is told to callers as not run although it may have run.
+    const std::string promises[] = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"};
+    for (const answer_row& row : answer_table()) {
+        INFO(row.name);
+        const bool promised =
+            std::find(std::begin(promises), std::end(promises), error_word(row.kind)) != std::end(promises);
+        CHECK((!promised || row.effect == outcome::not_run));
+    }
+}
+
+TEST_CASE("answers of members are gathered over their lines", "[platform_codec]")
+{
+    member_codec codec(5);
+    const auto opened = codec.decode("READY I 3.1207");
+    REQUIRE((ok(opened) && value_of(opened)));
+    CHECK(std::holds_alternative<member_opened>(*value_of(opened)));
+    CHECK_FALSE(value_of(codec.decode("ROW q z")));
+    CHECK_FALSE(value_of(codec.decode("COMPLETE 7.1f3")));
+    const auto answer = codec.decode("READY T 3.1209");
+    REQUIRE((ok(answer) && value_of(answer)));
+    const auto& reply = std::get<member_reply>(*value_of(answer));
+    CHECK(reply->rows == std::vector<std::string>{"q z"});
+    CHECK(reply->receipt == "7.1f3");
+    CHECK(reply->state == transaction_state::open);
+    CHECK(reply->position == log_position{{.term = 3, .index = 1209}});
+}
+
+TEST_CASE("an answer that is cut off or out of order is no answer", "[platform_codec]")
+{
+    // Guards against the rows of one answer that reach the caller of the next.
+    for (const char* line : {"READY I 3.1", "READY X 3.1", "NOISE"}) {
+        INFO(line);
+        member_codec codec(5);
+        REQUIRE(ok(codec.decode("READY I -")));
+        REQUIRE(ok(codec.decode("ROW a")));
+        CHECK_FALSE(ok(codec.decode(line)));
+    }
+    member_codec codec(5);
+    REQUIRE(ok(codec.decode("READY I -")));
+    REQUIRE(ok(codec.decode("COMPLETE r")));
+    CHECK_FALSE(ok(codec.decode("ROW after the end")));
+}
+
+TEST_CASE("an unknown error of a member may mean that the statement ran", "[platform_codec]")
+{
+    member_codec codec(5);
+    REQUIRE(ok(codec.decode("READY I -")));
+    REQUIRE(ok(codec.decode("ERROR SURPRISE x")));
+    const auto answer = codec.decode("READY I 1.1");
+    const auto& reply = std::get<member_reply>(*value_of(answer));
+    REQUIRE(reply->failure);
+    CHECK((*reply->failure)->kind == error_kind::outcome_unknown);
+}
+
+TEST_CASE("a member that rejects the session says why", "[platform_codec]")
+{
+    member_codec codec(5);
+    const auto answer = codec.decode("ERROR TOOMANY i-1");
+    REQUIRE((ok(answer) && value_of(answer)));
+    const auto& closed = std::get<member_closed>(*value_of(answer));
+    CHECK(closed->end == connection_end::rejected);
+    CHECK((*closed->failure)->kind == error_kind::too_many_connections);
+}
+
+TEST_CASE("statements for members are written by the protocol's grammar", "[platform_codec]")
+{
+    const log_position after{{.term = 3, .index = 9}};
+    const auto line = [](const std::string& id, member_statement body) {
+        return member_codec::encode(
+            send_queries{{.connection = 1, .queries = {member_query{{.request_id = id, .body = std::move(body)}}}}});
+    };
+    CHECK(line("q1", forwarded_statement{{.text = "READ x", .after = after}}) == "QUERY q1 AFTER 3.9 READ x\r\n");
+    CHECK(line("q1", execute_prepared{{.name = "c1", .argument = "a b"}}) == "QUERY q1 EXECUTE c1 a b\r\n");
+    CHECK(line("", begin_reading{.after = after}) == "QUERY - AFTER 3.9 BEGIN READ\r\n");
+    CHECK(line("", step_down{.term = 4}) == "QUERY - STEPDOWN 4\r\n");
+    CHECK(line("", prepare_statement{.name = "c1", .shape = prepared_shape{{.shape = "q", .writes = true}}}) ==
+          "QUERY - PREPARE c1 WRITE q\r\n");
+}
+
+TEST_CASE("the status of a member is read, anything else refused", "[platform_codec]")
+{
+    const auto status = member_codec::read_status("replica 3 3.1209 0 12 2 17");
+    REQUIRE(ok(status));
+    CHECK_FALSE(value_of(status)->leads);
+    CHECK(value_of(status)->term == 3);
+    CHECK(value_of(status)->received == log_position{{.term = 3, .index = 1209}});
+    for (const char* row : {"", "king 3 3.1", "primary x 3.1", "replica 3 -"}) {
+        CHECK_FALSE(ok(member_codec::read_status(row)));
+    }
+}
+
+TEST_CASE("an entry with fields missing or of another type names no member", "[platform_codec]")
+{
+    REQUIRE(ok(entry_codec::read_member("i-1", good_entry)));
+    struct row {
+        const char* from;
+        const char* to;
+    };
+    const row rows[] = {{R"("State":"ready")", R"("State":"dancing")"},
+                        {R"("Slots":3)", R"("Slots":"3")"},
+                        {R"("Slots":3)", R"("Slots":0)"},
+                        {R"("Slots":3)", R"("Slots":2.5)"},
+                        {R"("Service":"s",)", ""},
+                        {R"("Address":"10.0.0.1:80",)", ""},
+                        {R"("10.0.0.1:80")", R"("nowhere")"},
+                        {R"("Zone":"z")", R"("Zone":5)"},
+                        {R"("DbRole":"replica")", R"("DbRole":7)"},
+                        {R"("State":"ready",)", ""}};
+    for (const row& each : rows) {
+        INFO(each.from << " -> " << each.to);
+        CHECK_FALSE(ok(entry_codec::read_member("i-1", replaced(good_entry, each.from, each.to))));
+    }
+    for (const char* bytes : {"", "{", "\xff\xfe", "[]", "null"}) {
+        CHECK_FALSE(ok(entry_codec::read_member("i-1", bytes)));
+    }
+}
+
+TEST_CASE("a configuration is read whole", "[platform_codec]")
+{
+    const auto read = entry_codec::read_deployment(
+        R"({"Version":7,"Routes":[{"Name":"r","Host":"db","PathPrefix":"/","Type":"bounded_staleness",)"
+        R"("TimeoutMs":2000,"TargetLatencyMs":500,"Priority":2,"Service":"s","MaxStalenessMs":1500}],)"
+        R"("Services":[{"Name":"s","MaxConns":22,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000}})");
+    REQUIRE(ok(read));
+    const deployment& value = value_of(read);
+    CHECK(value->version == 7);
+    CHECK(value->routes.at("db")->max_staleness == 1500ms);
+    CHECK(value->services.at("s")->sync_replicas == 1);
+    CHECK(value->idle_transaction_limit == 3s);
+    CHECK_FALSE(ok(entry_codec::read_deployment(R"({"Version":7})")));
+}
+
+TEST_CASE("calls of the store are written as the platform reads them", "[platform_codec]")
+{
+    const auto watch = store_codec::encode(call_with(watch_range{{.prefix = "op/", .after = 411, .wait = 20s}}));
+    CHECK(watch->target == "/-/kv-watch?PathPrefix=op/&after=411&WaitMs=20000");
+    const auto change = store_codec::encode(
+        call_with(change_items{{.expected = {expected_revision{{.key = "k", .revision = 0}}},
+                                .writes = {store_item{{.key = "k", .value = "node-1", .lease = 77}}}}}));
+    CHECK(change->body.find("\"Value\":\"bm9kZS0x\"") != std::string::npos);
+    const auto order =
+        store_codec::encode(call_with(promote_member{{.service = "s", .member = "i-1", .holder = "d1", .fence = 12}}));
+    CHECK(order->headers.at("Fencing-Token") == "12");
+    CHECK(order->headers.at("Lease-Holder") == "d1");
+}
+
+TEST_CASE("answers of the platform are told apart", "[platform_codec]")
+{
+    struct row {
+        int status;
+        call_outcome expected;
+    };
+    const row rows[] = {{200, call_outcome::done},     {404, call_outcome::missing},      {409, call_outcome::conflict},
+                        {412, call_outcome::conflict}, {410, call_outcome::history_gone}, {429, call_outcome::refused},
+                        {503, call_outcome::refused},  {500, call_outcome::refused}};
+    for (const row& each : rows) {
+        INFO(each.status);
+        const auto call = call_with(watch_range{{.prefix = "op/"}});
+        const std::string body = each.status == 200 ? R"({"events":[],"StoreRevision":5})" : "";
+        CHECK(store_codec::decode(call, http_reply{{.status = each.status, .body = body}})->outcome == each.expected);
+    }
+}
+
+TEST_CASE("an answer of the platform that cannot be read is malformed, not empty", "[platform_codec]")
+{
+    for (const char* body : {"{", "[]", R"({"events":[{"Key":5}],"StoreRevision":5})", R"({"events":[]})",
+                             R"({"events":[{"Key":"k","Revision":1,"Value":"%%%"}],"StoreRevision":5})"}) {
+        INFO(body);
+        const auto answer =
+            store_codec::decode(call_with(watch_range{{.prefix = "op/"}}), http_reply{{.status = 200, .body = body}});
+        CHECK(answer->outcome == call_outcome::malformed);
+    }
+}
+
+TEST_CASE("base64 reads back what it wrote and refuses the rest", "[platform_codec]")
+{
+    std::mt19937_64 random(1);
+    for (int length = 0; length < 100; ++length) {
+        std::string bytes;
+        for (int i = 0; i < length; ++i) {
+            bytes.push_back(static_cast<char>(random()));
+        }
+        CHECK(decode_base64(encode_base64(bytes)) == bytes);
+    }
+    for (const char* text : {"a", "ab=", "a===", "ab$=", "===="}) {
+        INFO(text);
+        CHECK_FALSE(decode_base64(text));
+    }
+}
+
+TEST_CASE("settings with unknown or wrong keys are refused with their place", "[platform_codec]")
+{
+    const std::string good = R"({"daemon":{"name":"a","region":"r","data_center":"z"},)"
+                             R"("callers":{"address":"127.0.0.1:1"},"probe":{"address":"127.0.0.1:2","path":"/ready"},)"
+                             R"("store":{"address":"127.0.0.1:3"}})";
+    CHECK(std::holds_alternative<gateway_settings>(settings_codec::read(good)));
+    for (const auto& [from, to] : {std::pair{"\"name\"", "\"nome\""}, std::pair{"127.0.0.1:1", "somewhere"},
+                                   std::pair{"\"store\"", "\"stare\""}}) {
+        INFO(from << " -> " << to);
+        const auto read = settings_codec::read(replaced(good, from, to));
+        REQUIRE(std::holds_alternative<std::vector<json_problem>>(read));
+    }
+}
--- /dev/null
+++ b/tests/pool_test.cc
@@ -0,0 +1,229 @@
+#include "pool/connection_budget.h"
+#include "pool/latency_estimate.h"
+#include "pool/member_health.h"
+#include "pool/member_pool.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace citronfall;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start{std::chrono::seconds(1000)};
+
+/// A pool with one member whose events are played by hand.
+struct pool_fixture {
+    explicit pool_fixture(std::uint32_t limit = 10)
+    {
+        auto made = member_pool::make(
+            {.send = [this](const member_command& command) { commands.push_back(command); },
+             .idle = [this](const std::string&, instant) { ++idle_events; },
+             .answered = [](const std::string&, const member_reply&, instant, instant) {},
+             .reach_changed = [this](const std::string&, member_reach reach, instant) { reaches.push_back(reach); },
+             .log =
+                 [](const std::string&, const std::string&) {
+                 }},
+            5s);
+        REQUIRE(ok(made));
+        pool = take(std::move(made));
+        pool->configure({{"m", member_entry{{.id = "m", .service = "s", .address = "127.0.0.1:1"}}}}, {{"s", limit}}, 1,
+                        start);
+        pool->tick(start);
+    }
+
+    template <class Command>
+    [[nodiscard]] std::size_t count() const
+    {
+        std::size_t found = 0;
+        for (const member_command& each : commands) {
+            found += std::holds_alternative<Command>(each) ? 1 : 0;
+        }
+        return found;
+    }
+
+    void open_last(instant now)
+    {
+        pool->handle(member_opened{{.connection = std::get<open_member>(commands.back())->connection}}, now);
+    }
+
+    void reply(connection_number connection, transaction_state state, instant now)
+    {
+        pool->handle(member_reply{{.connection = connection, .receipt = "-", .state = state}}, now);
+    }
+
+    std::vector<member_command> commands;
+    std::vector<member_reach> reaches;
+    std::size_t idle_events = 0;
+    std::unique_ptr<member_pool> pool;
+};
+
+} // namespace
+
+TEST_CASE("a pool keeps one connection to each member and hands it out once", "[pool]")
+{
+    pool_fixture fixture;
+    REQUIRE(fixture.count<open_member>() == 1);
+    fixture.open_last(start);
+    const auto connection = fixture.pool->acquire("m", {}, start);
+    CHECK(connection != 0);
+    CHECK(fixture.pool->acquire("m", {}, start) == 0);
+    fixture.pool->release(connection, start);
+    CHECK(fixture.pool->acquire("m", {}, start) == connection);
+}
+
+TEST_CASE("asking for one more connection does not take an idle one", "[pool]")
+{
+    // Guards against a connection that is handed out to nobody: it took a member's connections one by one.
+    pool_fixture fixture;
+    fixture.open_last(start);
+    fixture.pool->want("m", 3, start);
+    CHECK(fixture.pool->acquire("m", {}, start) != 0);
+}
+
+TEST_CASE("a connection returns clean or not at all", "[pool]")
+{
+    pool_fixture fixture;
+    fixture.open_last(start);
+    const auto connection = fixture.pool->acquire("m", {}, start);
+    fixture.pool->send_own(
+        connection, {begin_leading{}}, [](const exchange_outcome&, instant) {}, start);
+    fixture.reply(connection, transaction_state::open, start);
+    fixture.pool->release(connection, start);
+    CHECK(fixture.pool->acquire("m", {}, start) == 0); // The rollback is under way.
+    fixture.reply(connection, transaction_state::none, start);
+    CHECK(fixture.pool->acquire("m", {}, start) == connection);
+}
+
+TEST_CASE("a connection whose rollback gets no answer is closed", "[pool]")
+{
+    // Guards against connections that are kept for good because one answer was lost.
+    pool_fixture fixture;
+    fixture.open_last(start);
+    const auto connection = fixture.pool->acquire("m", {}, start);
+    fixture.pool->send_own(
+        connection, {begin_leading{}}, [](const exchange_outcome&, instant) {}, start);
+    fixture.reply(connection, transaction_state::open, start);
+    fixture.pool->release(connection, start);
+    fixture.pool->tick(start + 2s);
+    CHECK(fixture.count<close_member>() == 1);
+    CHECK(fixture.pool->find(connection) == nullptr);
+}
+
+TEST_CASE("silence while this process stood still proves nothing", "[pool]")
+{
+    pool_fixture fixture;
+    fixture.open_last(start);
+    const auto connection = fixture.pool->acquire("m", {}, start);
+    fixture.pool->send_own(
+        connection, {begin_leading{}}, [](const exchange_outcome&, instant) {}, start);
+    fixture.pool->stalled(start + 4s);
+    fixture.pool->tick(start + 4s);
+    CHECK(fixture.pool->find(connection) != nullptr);
+}
+
+TEST_CASE("a lost connection tells the user of its open statement, or its user", "[pool]")
+{
+    pool_fixture fixture;
+    fixture.open_last(start);
+    bool lost_user = false;
+    bool lost_statement = false;
+    const auto connection = fixture.pool->acquire("m",
+                                                  {.lost =
+                                                       [&](instant) {
+                                                           lost_user = true;
+                                                       }},
+                                                  start);
+    fixture.pool->send(connection, member_query{{.request_id = "q"}},
+                       {.sent_at = start, .measured = true, .ended = [&](const exchange_outcome& outcome, instant) {
+                            lost_statement = std::holds_alternative<exchange_lost>(outcome);
+                        }});
+    fixture.pool->handle(member_closed{{.connection = connection}}, start);
+    CHECK(lost_statement);
+    CHECK_FALSE(lost_user);
+    CHECK(fixture.pool->member("m")->running == 0);
+}
+
+TEST_CASE("a refused connection means that the member is down, a silent one that it is silent", "[pool]")
+{
+    struct row {
+        connection_end end;
+        member_reach expected;
+    };
+    for (const row& each :
+         {row{connection_end::refused, member_reach::down}, row{connection_end::no_answer, member_reach::silent}}) {
+        pool_fixture fixture;
+        const auto number = std::get<open_member>(fixture.commands.back())->connection;
+        fixture.pool->handle(member_closed{{.connection = number, .end = each.end}}, start + 400ms);
+        REQUIRE(fixture.reaches.size() == 1);
+        CHECK(fixture.reaches.front() == each.expected);
+    }
+}
+
+TEST_CASE("a member that answers elsewhere meanwhile is not silent", "[pool]")
+{
+    // Guards against one silent connection that condemns a member that serves others.
+    member_health health;
+    health.answered(start + 100ms);
+    health.unanswered(start);
+    CHECK(health.reach() == member_reach::good);
+    health.unanswered(start + 200ms);
+    CHECK(health.reach() == member_reach::silent);
+}
+
+TEST_CASE("connections are borrowed beyond the part that is kept, and returned", "[pool]")
+{
+    const connection_demand demand{.limit = 20, .daemons = 4, .open = 2, .opening = 0, .waiting = 1};
+    CHECK(may_open(demand, start));
+    auto nobody_waits = demand;
+    nobody_waits.waiting = 0;
+    CHECK_FALSE(may_open(nobody_waits, start));
+    auto many = demand;
+    many.open = 20;
+    CHECK_FALSE(may_open(many, start));
+    CHECK(should_close(many, start, start + 5s));
+    auto kept = demand;
+    kept.open = fair_share(demand.limit, demand.daemons);
+    CHECK_FALSE(should_close(kept, start, start + 1h));
+}
+
+TEST_CASE("daemons that all start anew find room beside the connections of their former lives", "[pool]")
+{
+    // Connections of instances that lost power stay counted for seconds. One a daemon must fit beside those kept.
+    for (const std::size_t daemons : {1U, 3U, 6U, 7U, 11U}) {
+        INFO("daemons " << daemons);
+        constexpr std::uint32_t limit = 22;
+        CHECK(daemons * fair_share(limit, daemons) + daemons <= limit);
+    }
+}
+
+TEST_CASE("a refusal for lack of room pauses further attempts", "[pool]")
+{
+    connection_demand demand{.limit = 20, .daemons = 4, .open = 1, .waiting = 3, .refused_at = start};
+    CHECK_FALSE(may_open(demand, start + 100ms));
+    CHECK(may_open(demand, start + 1s));
+}
+
+TEST_CASE("an estimate follows answers and is forgotten without them", "[pool]")
+{
+    latency_estimate estimate;
+    CHECK(estimate.at(start, 20ms) == 20ms);
+    for (int i = 0; i < 20; ++i) {
+        estimate.answered(200ms, start + 50ms * i);
+    }
+    CHECK(estimate.at(start + 1s, 20ms) > 150ms);
+    CHECK(estimate.at(start + 20s, 20ms) < 30ms); // Tried again after a while.
+}
+
+TEST_CASE("a leaving member gets no new work after its bound", "[pool]")
+{
+    pool_fixture fixture;
+    const std::map<std::string, member_entry> leaving{
+        {"m", member_entry{{.id = "m", .service = "s", .address = "127.0.0.1:1", .draining = true}}}};
+    fixture.pool->configure(leaving, {{"s", 10}}, 1, start);
+    CHECK(fixture.pool->takes_work("m", start + 4s));
+    CHECK_FALSE(fixture.pool->takes_work("m", start + 6s));
+}
