Keep the store's calls for changes from growing with the number of daemons

Cause: each change of an entry ended a watch on every daemon. The pause between two watches now grows with the number of daemons beyond eight, and peers pass on what changed meanwhile; a new configuration is announced at once.

--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -243,6 +243,9 @@
     const bool departed = item->deleted && item->key.starts_with(members);
     directory_->apply(item, departed ? departure_of(item->key.substr(members.size())) : member_departure{});
     directory_changed_ = true;
+    if (item->key == options_.directory.keys.configuration) {
+        relay_->announce();
+    }
 }
 
 member_departure gateway_engine::departure_of(const std::string& member) const
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -2,6 +2,7 @@
 
 #include "citronfall/answer_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronfall {
@@ -11,11 +12,15 @@
 /// sooner.
 constexpr duration watch_wait = std::chrono::seconds(25);
 
-/// Between two calls for changes. A configuration is due on all daemons within seconds; the entries of members and
-/// daemons change several at a time when instances start.
+/// Least time between two calls for changes. A configuration is due on all daemons within seconds; the entries of
+/// members and daemons change several at a time when instances start.
 constexpr duration configuration_pause = std::chrono::milliseconds(20);
 constexpr duration entries_pause = std::chrono::milliseconds(400);
 
+/// With more daemons than this the pause grows with their number, so that a change costs the store no more calls a
+/// second than this many daemons make. Peers tell each other what changed meanwhile.
+constexpr std::size_t watching_daemons = 8;
+
 /// Time before the drain bound at which a leaving member gets no new work, for news that arrived late.
 constexpr duration drain_reserve = std::chrono::milliseconds(1500);
 
@@ -116,7 +121,11 @@
         auto mirror = store_mirror::make(
             {.prefix = prefix,
              .watch_wait = watch_wait,
-             .gather_pause = prefix == options_.configuration_prefix ? configuration_pause : entries_pause,
+             .gather_pause =
+                 [this, least = prefix == options_.configuration_prefix ? configuration_pause : entries_pause] {
+                     const auto daemons = static_cast<int>(directory_->daemons().size());
+                     return std::max(least, least * daemons / static_cast<int>(watching_daemons));
+                 },
              .call = call,
              .changed = [this](const store_item& item) { item_changed(item); },
              .log = notable});
--- a/src/mirror/mirror_relay.h
+++ b/src/mirror/mirror_relay.h
@@ -30,6 +30,9 @@
     /// Sends digests when they are due. To be called every few tens of milliseconds.
     void tick(instant now);
 
+    /// Something changed that all daemons should know soon: the next digest is due at once.
+    void announce() { next_digest_ = {}; }
+
     /// A peer connected.
     void connected(const std::string& peer);
 
--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -94,7 +94,7 @@
              }},
             {"pause_shortly",
              [](context& each) {
-                 each.mirror.next_attempt_ = each.now + each.mirror.options_.gather_pause;
+                 each.mirror.next_attempt_ = each.now + each.mirror.options_.gather_pause();
              }},
             {"start_watch",
              [](context& each) {
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -19,9 +19,8 @@
 /// Settings and hooks of a mirror. The hooks are called on the decision thread.
 struct store_mirror_options {
     std::string prefix;
-    duration watch_wait{}; ///< Length of a watch without events.
-    duration
-        gather_pause{}; ///< After a change; what changes meanwhile arrives with one call, which the platform prices.
+    duration watch_wait{};                  ///< Length of a watch without events.
+    std::function<duration()> gather_pause; ///< After a change; what changes meanwhile arrives with one call.
     std::function<call_number(call_body, duration timeout)> call;
     mirror_table::changed_hook changed;
     std::function<void(const std::string&, const std::string&)> log; ///< Event and its fields.
--- a/tests/store_mirror_test.cc
+++ b/tests/store_mirror_test.cc
@@ -24,7 +24,7 @@
     {
         auto made = store_mirror::make({.prefix = "op/",
                                         .watch_wait = 10s,
-                                        .gather_pause = 50ms,
+                                        .gather_pause = [] { return duration(50ms); },
                                         .call =
                                             [this](call_body body, duration timeout) {
                                                 sent.push_back({sent.size() + 1, std::move(body), timeout});
