--- a/src/caller_session/session_table.h
+++ b/src/caller_session/session_table.h
@@ -90,7 +90,7 @@
     struct context {
         session_table& table;
         caller_session& session;
-        const task_outcome* outcome;
+        const task_outcome* outcome = nullptr;
         instant now;
     };
 
--- a/src/dispatch/statement_dispatcher.h
+++ b/src/dispatch/statement_dispatcher.h
@@ -87,7 +87,7 @@
     struct context {
         statement_dispatcher& dispatcher;
         statement_task& task;
-        const member_reply* reply;
+        const member_reply* reply = nullptr;
         instant now;
     };
     using queue_key = std::tuple<std::uint32_t, instant, task_number>; ///< Priority, deadline, task.
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -60,7 +60,7 @@
     enum class event : std::uint8_t { due, page_read, changed, history_gone, failed };
     struct context {
         store_mirror& mirror;
-        const store_answer* answer;
+        const store_answer* answer = nullptr;
         instant now;
     };
 
--- a/src/presence/lease_keeper.h
+++ b/src/presence/lease_keeper.h
@@ -48,7 +48,7 @@
     enum class event : std::uint8_t { due, granted, renewed, missing, failed, leave };
     struct context {
         lease_keeper& keeper;
-        const store_answer* answer;
+        const store_answer* answer = nullptr;
         instant now;
     };
 
