--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -32,6 +32,9 @@
 /// A daemon that had an answer of a primary within this time reaches it.
 constexpr duration reach_memory = std::chrono::milliseconds(700);
 
+/// A daemon whose statement got no answer for this long, while the primary answered nothing else, misses it, too.
+constexpr duration answer_patience = std::chrono::milliseconds(250);
+
 constexpr std::size_t member_mirror = 1;
 
 } // namespace
@@ -207,7 +210,9 @@
     const lead_view& lead = services_[query->group].lead;
     const pooled_member* leader = lead.leader() ? pool_->member(*lead.leader()) : nullptr;
     const auto answered_at = leader != nullptr ? leader->health.answered_at() : std::nullopt;
-    const bool reaches = answered_at && now - *answered_at < reach_memory;
+    const auto oldest = leader != nullptr ? pool_->oldest_exchange(*lead.leader()) : std::nullopt;
+    const bool overdue = oldest && answered_at && now - std::max(*oldest, *answered_at) > answer_patience;
+    const bool reaches = answered_at && now - *answered_at < reach_memory && !overdue;
     log(log_weight::notable, "suspicion_asked",
         "service=" + query->group + " member=" + query->member + " peer=" + peer +
             " reaches=" + (reaches ? "yes" : "no"));
--- a/src/takeover/primary_change.cc
+++ b/src/takeover/primary_change.cc
@@ -18,8 +18,8 @@
 /// For a stepping primary to answer, and for its successor to receive the rest.
 constexpr duration catch_up_bound = std::chrono::milliseconds(2000);
 
-/// Pause after a change or a suspicion that peers did not share.
-constexpr duration disagreement_pause = std::chrono::milliseconds(300);
+/// Pause after a suspicion that peers did not share. They may notice a silent primary a little later.
+constexpr duration disagreement_pause = std::chrono::milliseconds(100);
 
 /// Pause after a completed change, so that a service does not change back and forth.
 constexpr duration change_pause = std::chrono::milliseconds(1500);
