--- a/src/caller_session/session_table.cc
+++ b/src/caller_session/session_table.cc
@@ -1,5 +1,6 @@
 #include "caller_session/session_table.h"
 
+#include "chart/embedded_program.h"
 #include "citronfall/answer_table.h"
 
 #include <algorithm>
@@ -34,24 +35,21 @@
 
 result<done> session_table::bind()
 {
-    auto subject = chart::make_embedded("session");
-    if (!ok(subject)) {
-        return error_of(subject);
+    auto made = make_embedded_program<event, context>("session", bindings());
+    if (!ok(made)) {
+        return error_of(made);
     }
-    visible_states_.assign(value_of(subject).states().size(), transaction_state::none);
+    program_.emplace(take(std::move(made)));
+    const chart& subject = program_->subject();
+    visible_states_.assign(subject.states().size(), transaction_state::none);
     for (const char* name : {"announced", "running", "open", "lost", "failed"}) {
-        const auto id = value_of(subject).find(name);
+        const auto id = subject.find(name);
         if (!ok(id)) {
             return error_of(id);
         }
         visible_states_[static_cast<std::size_t>(value_of(id))] =
             std::string_view(name) == "failed" ? transaction_state::failed : transaction_state::open;
     }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
-    if (!ok(made)) {
-        return error_of(made);
-    }
-    program_.emplace(take(std::move(made)));
     return done{};
 }
 
--- a/src/dispatch/statement_dispatcher.cc
+++ b/src/dispatch/statement_dispatcher.cc
@@ -1,5 +1,7 @@
 #include "dispatch/statement_dispatcher.h"
 
+#include "chart/embedded_program.h"
+
 #include <cassert>
 #include <utility>
 
@@ -25,11 +27,7 @@
 
 result<done> statement_dispatcher::bind()
 {
-    auto subject = chart::make_embedded("statement");
-    if (!ok(subject)) {
-        return error_of(subject);
-    }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    auto made = make_embedded_program<event, context>("statement", bindings());
     if (!ok(made)) {
         return error_of(made);
     }
--- a/src/gateway/gateway_lifecycle.cc
+++ b/src/gateway/gateway_lifecycle.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway_lifecycle.h"
 
+#include "chart/embedded_program.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -30,11 +32,7 @@
 
 result<done> gateway_lifecycle::bind()
 {
-    auto subject = chart::make_embedded("gateway");
-    if (!ok(subject)) {
-        return error_of(subject);
-    }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    auto made = make_embedded_program<event, context>("gateway", bindings());
     if (!ok(made)) {
         return error_of(made);
     }
--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -1,5 +1,7 @@
 #include "mirror/store_mirror.h"
 
+#include "chart/embedded_program.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -41,11 +43,7 @@
 
 result<done> store_mirror::bind()
 {
-    auto subject = chart::make_embedded("store_mirror");
-    if (!ok(subject)) {
-        return error_of(subject);
-    }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    auto made = make_embedded_program<event, context>("store_mirror", bindings());
     if (!ok(made)) {
         return error_of(made);
     }
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -1,5 +1,7 @@
 #include "pool/member_pool.h"
 
+#include "chart/embedded_program.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -23,11 +25,7 @@
 
 result<done> member_pool::bind()
 {
-    auto subject = chart::make_embedded("member_connection");
-    if (!ok(subject)) {
-        return error_of(subject);
-    }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    auto made = make_embedded_program<event, context>("member_connection", bindings());
     if (!ok(made)) {
         return error_of(made);
     }
--- a/src/presence/lease_keeper.cc
+++ b/src/presence/lease_keeper.cc
@@ -1,5 +1,7 @@
 #include "presence/lease_keeper.h"
 
+#include "chart/embedded_program.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,11 +33,7 @@
 
 result<done> lease_keeper::bind()
 {
-    auto subject = chart::make_embedded("lease");
-    if (!ok(subject)) {
-        return error_of(subject);
-    }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    auto made = make_embedded_program<event, context>("lease", bindings());
     if (!ok(made)) {
         return error_of(made);
     }
--- a/src/takeover/primary_change.cc
+++ b/src/takeover/primary_change.cc
@@ -1,5 +1,7 @@
 #include "takeover/primary_change.h"
 
+#include "chart/embedded_program.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,8 +26,9 @@
 /// Pause after a completed change, so that a service does not change back and forth.
 constexpr duration change_pause = std::chrono::milliseconds(1500);
 
-/// A daemon that knows no leader from its start waits this long before it takes the service for leaderless.
-constexpr duration first_search = std::chrono::milliseconds(1500);
+/// A daemon that knows no leader from its start waits this long before it takes the service for leaderless: members
+/// that start with it register over several seconds, the leader perhaps last.
+constexpr duration first_search = std::chrono::milliseconds(5000);
 
 } // namespace
 
@@ -40,11 +43,7 @@
 
 result<done> primary_change::bind()
 {
-    auto subject = chart::make_embedded("primary_change");
-    if (!ok(subject)) {
-        return error_of(subject);
-    }
-    auto made = chart_program<event, context>::make(take(std::move(subject)), bindings());
+    auto made = make_embedded_program<event, context>("primary_change", bindings());
     if (!ok(made)) {
         return error_of(made);
     }
