--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -96,6 +96,8 @@
         each.entry = entry;
         if (!entry->draining) {
             each.draining_since.reset();
+        } else if (added) {
+            each.draining_since = now - leaving_bound_; // Nobody can tell for how long it has been leaving.
         } else if (!each.draining_since) {
             each.draining_since = now;
         }
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -227,3 +227,13 @@
     CHECK(fixture.pool->takes_work("m", start + 4s));
     CHECK_FALSE(fixture.pool->takes_work("m", start + 6s));
 }
+
+TEST_CASE("a member that is leaving when it is first seen gets no new work", "[pool]")
+{
+    // Guards against a daemon that starts while a member leaves and counts the member's bound from its own start.
+    pool_fixture fixture;
+    const std::map<std::string, member_entry> entries{
+        {"late", member_entry{{.id = "late", .service = "s", .address = "127.0.0.1:2", .draining = true}}}};
+    fixture.pool->configure(entries, {{"s", {.limit = 10}}}, start);
+    CHECK_FALSE(fixture.pool->takes_work("late", start));
+}
