Do not replace a primary on the store's side of a partition while most daemons may reach it

A daemon now counts those whose leases ended within 4 s among the daemons that may reach the primary, and promotes at once only if at least half of all miss it; else it waits 6 s. A member that is no longer listed is silent, not down.

Stand-ins of the platform's store and of a service's members as models without a network, shared by the virtual-time tests, and servers that speak the platform's protocols over sockets.

--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -393,7 +393,8 @@
     }
 }
 
-peer_question gateway_engine::ask_peers(const std::string& service, const std::string& member, term_number term)
+peer_question gateway_engine::ask_peers(const std::string& service, const std::string& member, term_number term,
+                                        instant now)
 {
     const std::uint64_t number = ++last_question_;
     const auto asked = connected_homes(service);
@@ -401,7 +402,10 @@
     for (const std::string& peer : asked) {
         options_.peer(peer_command{{.to = peer, .message = query}});
     }
-    return {.number = number, .asked = asked.size()};
+    const auto& homes = homes_[service];
+    const auto others =
+        homes.size() - static_cast<std::size_t>(std::count(homes.begin(), homes.end(), options_.settings->name));
+    return {.number = number, .asked = asked.size(), .known = others + vanished_.count(service, now)};
 }
 
 void gateway_engine::publish_metrics(instant now)
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -19,6 +19,7 @@
 #include "pool/member_pool.h"
 #include "presence/presence.h"
 #include "relay/statement_relay.h"
+#include "relay/vanished_homes.h"
 #include "takeover/primary_change.h"
 
 #include <functional>
@@ -108,7 +109,8 @@
     void tick_services(instant now);
     void publish_metrics(instant now);
     result<done> add_change(const std::string& service);
-    [[nodiscard]] peer_question ask_peers(const std::string& service, const std::string& member, term_number term);
+    [[nodiscard]] peer_question ask_peers(const std::string& service, const std::string& member, term_number term,
+                                          instant now);
     [[nodiscard]] std::string service_of(const std::string& member) const;
     [[nodiscard]] member_departure departure_of(const std::string& member) const;
     void log(log_weight weight, const std::string& event, const std::string& fields);
@@ -133,6 +135,7 @@
     std::set<std::string> used_services_;  ///< With a route in the configuration in force.
     std::set<std::string> local_services_; ///< Of these, those whose members this daemon reaches itself.
     std::map<std::string, std::vector<std::string>> homes_; ///< Daemons that hold connections, by service; best first.
+    vanished_homes vanished_;
     std::map<std::string, std::unique_ptr<primary_change>> changes_;
     std::set<std::string> peers_;
     metrics_table metrics_;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -231,8 +231,8 @@
          .fence = [this, service](instant now) { return presence_->fence(service, now); },
          .raise_fence = [this, service](instant now) { presence_->raise_fence(service, now); },
          .overtaken = [this, service](std::uint64_t fence) { presence_->overtaken(service, fence); },
-         .ask_peers = [this, service](const std::string& member,
-                                      term_number term) { return ask_peers(service, member, term); },
+         .ask_peers = [this, service](const std::string& member, term_number term,
+                                      instant now) { return ask_peers(service, member, term, now); },
          .call = [this](call_body body, duration timeout) { return call_store(std::move(body), timeout); },
          .state = [this, service]() -> service_state& { return services_[service]; },
          .sync_replicas =
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -35,13 +35,15 @@
 
 void gateway_engine::choose_homes()
 {
-    homes_.clear();
-    std::vector<std::string> daemons{options_.settings->name};
+    std::set<std::string> listed{options_.settings->name};
     for (const auto& [name, entry] : directory_->daemons()) {
-        if (name != options_.settings->name) {
-            daemons.push_back(name);
-        }
+        listed.insert(name);
     }
+    for (const auto& [service, homes] : homes_) {
+        vanished_.update(service, homes, listed, now_);
+    }
+    homes_.clear();
+    const std::vector<std::string> daemons(listed.begin(), listed.end());
     for (const std::string& service : used_services_) {
         const auto& services = (*directory_->configuration())->services;
         const auto policy = services.find(service);
--- /dev/null
+++ b/src/relay/vanished_homes.cc
@@ -0,0 +1,37 @@
+#include "relay/vanished_homes.h"
+
+namespace citronfall {
+namespace {
+
+/// A daemon that lives registers again within this time once its link is back; links that are cut mostly return within
+/// seconds.
+constexpr duration memory = std::chrono::seconds(4);
+
+} // namespace
+
+void vanished_homes::update(const std::string& service, const std::vector<std::string>& before,
+                            const std::set<std::string>& listed, instant now)
+{
+    std::map<std::string, instant>& gone = since_[service];
+    for (const std::string& each : before) {
+        if (!listed.contains(each)) {
+            gone.try_emplace(each, now);
+        }
+    }
+    std::erase_if(gone, [&](const auto& each) { return listed.contains(each.first) || now - each.second > memory; });
+}
+
+std::size_t vanished_homes::count(const std::string& service, instant now) const
+{
+    const auto found = since_.find(service);
+    if (found == since_.end()) {
+        return 0;
+    }
+    std::size_t number = 0;
+    for (const auto& [daemon, since] : found->second) {
+        number += now - since <= memory ? 1 : 0;
+    }
+    return number;
+}
+
+} // namespace citronfall
--- a/src/takeover/primary_change.cc
+++ b/src/takeover/primary_change.cc
@@ -11,6 +11,10 @@
 /// For peers to tell whether they reach the primary; a round trip within a region takes a few milliseconds.
 constexpr duration answers_bound = std::chrono::milliseconds(150);
 
+/// A daemon that reaches fewer than half of the daemons waits this long after the loss of the primary: the others may
+/// still reach it, and a change would roll back what they confirm. A change has to be over within 9 s.
+constexpr duration isolation_bound = std::chrono::seconds(6);
+
 /// For members to tell their positions. A status waits for a slot.
 constexpr duration positions_bound = std::chrono::milliseconds(150);
 
@@ -70,7 +74,7 @@
                  }},
                 {"peers_agree",
                  [](const context& each) {
-                     return each.change.peers_agree();
+                     return each.change.peers_agree(each.now);
                  }},
                 {"has_successor",
                  [](const context& each) {
@@ -120,7 +124,8 @@
                      change.next_attempt_ = each.now + disagreement_pause;
                      change.options_.log("change_declined", "service=" + change.options_.service +
                                                                 " reaching=" + std::to_string(change.reaching_it_) +
-                                                                " missing=" + std::to_string(change.missing_it_));
+                                                                " missing=" + std::to_string(change.missing_it_) +
+                                                                " known=" + std::to_string(change.question_.known));
                  }},
                 {"note_end",
                  [](context& each) {
@@ -195,7 +200,8 @@
         return now - since > first_search ? std::optional(event::leader_silent) : std::nullopt;
     }
     const pooled_member* last = pool_.member(lead.last_leader());
-    const bool down = last == nullptr || !last->listed || last->health.reach() == member_reach::down;
+    // A member whose entry ended may still serve daemons that are cut off from the store with it.
+    const bool down = last != nullptr && last->health.reach() == member_reach::down;
     return down ? event::leader_down : event::leader_silent;
 }
 
@@ -213,7 +219,7 @@
     missing_it_ = 0;
     reaching_it_ = 0;
     const lead_view& lead = options_.state().lead;
-    question_ = options_.ask_peers(lead.last_leader(), lead.term());
+    question_ = options_.ask_peers(lead.last_leader(), lead.term(), now);
 }
 
 void primary_change::peer_answered(std::uint64_t number, bool misses_it, instant now)
@@ -227,10 +233,12 @@
     }
 }
 
-bool primary_change::peers_agree() const
+bool primary_change::peers_agree(instant now) const
 {
     const std::size_t missing = missing_it_ + 1; // This daemon misses it.
-    return missing > reaching_it_;
+    const auto lost_since = options_.state().lead.lost_since();
+    const bool waited = now - lost_since.value_or(unknown_since_.value_or(now)) >= isolation_bound;
+    return missing > reaching_it_ && (2 * missing >= question_.known + 1 || waited);
 }
 
 void primary_change::note_end(instant now)
--- a/src/takeover/primary_change.h
+++ b/src/takeover/primary_change.h
@@ -22,6 +22,7 @@
 struct peer_question {
     std::uint64_t number = 0; ///< Repeated in the replies.
     std::size_t asked = 0;    ///< Peers that may reply.
+    std::size_t known = 0;    ///< Peers that may serve the service, those that cannot be asked included.
 };
 
 /// Settings and hooks of a change of primary. The hooks are called on the decision thread.
@@ -31,7 +32,7 @@
     std::function<std::optional<std::uint64_t>(instant)> fence; ///< Nothing: another daemon has the duty.
     std::function<void(instant)> raise_fence;
     std::function<void(std::uint64_t fence)> overtaken; ///< The platform refused the fence.
-    std::function<peer_question(const std::string& member, term_number)> ask_peers;
+    std::function<peer_question(const std::string& member, term_number, instant)> ask_peers;
     std::function<call_number(call_body, duration timeout)> call;
     std::function<service_state&()> state;
     std::function<std::uint32_t()> sync_replicas;
@@ -43,9 +44,11 @@
 /// Replaces the primary of one service when it is lost or is to leave (chart `primary_change`). Runs on every daemon
 /// and acts only on the one that has the duty.
 ///
-/// A silent primary is replaced if most of the peers that answer miss it too; one whose process is down is replaced at
-/// once. The member with the furthest log follows. A primary that is to leave steps down first, and its successor takes
-/// over once it has received everything, so that nothing is lost. Not thread-safe: owned by the decision thread.
+/// A silent primary is replaced if most of the peers that answer miss it too and at least half of the daemons that may
+/// serve the service are among those that miss it; a daemon that is cut off with the members it reaches waits for the
+/// others. A primary whose process is down is replaced at once. The member with the furthest log follows. A primary
+/// that is to leave steps down first, and its successor takes over once it has received everything, so that nothing is
+/// lost. Not thread-safe: owned by the decision thread.
 class primary_change {
 public:
     /// Error (bad_request): the chart does not fit.
@@ -104,7 +107,7 @@
     [[nodiscard]] bool may_change(instant now) const;
     [[nodiscard]] std::optional<event> suspicion(instant now);
     void ask_peers(instant now);
-    [[nodiscard]] bool peers_agree() const;
+    [[nodiscard]] bool peers_agree(instant now) const;
     void ask_positions(instant now);
     void ask_position(const std::string& member, instant now);
     void on_position(const std::string& member, connection_number connection, const exchange_outcome& outcome,
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -229,6 +229,45 @@
     }
 }
 
+TEST_CASE("a daemon that is cut off from the leader and all others does not replace the leader at once", "[gateway]")
+{
+    // Guards against a change of primary on the store's side of a partition while most daemons, which the store no
+    // longer lists, still reach the leader: what they confirm meanwhile would be rolled back.
+    for (std::size_t alone = 0; alone < 5; ++alone) {
+        INFO("daemon " << alone);
+        gateway_world world({.daemons = 5});
+        const std::string leader = world.leader();
+        world.cut_member(alone, leader, true);
+        world.cut_peers(alone, true);
+        for (std::size_t i = 0; i < 5; ++i) {
+            world.refuse_store(i, i != alone);
+        }
+        world.run(5s);
+        CHECK(world.promotions().empty());
+        world.cut_member(alone, leader, false);
+        world.cut_peers(alone, false);
+        for (std::size_t i = 0; i < 5; ++i) {
+            world.refuse_store(i, false);
+        }
+        world.run(2s);
+        CHECK(world.promotions().empty());
+    }
+}
+
+TEST_CASE("a lone daemon that keeps missing the leader replaces it within the bound", "[gateway]")
+{
+    // Guards against a service without a leader for as long as most daemons are gone.
+    gateway_world world({.daemons = 5});
+    for (std::size_t i = 1; i < 5; ++i) {
+        world.refuse_store(i, true);
+    }
+    world.cut_peers(0, true);
+    world.darken_member(world.leader());
+    world.run(9s);
+    CHECK(world.promotions().size() == 1);
+    CHECK_FALSE(world.leader().empty());
+}
+
 TEST_CASE("a leader that leaves hands over without losing a commit", "[gateway]")
 {
     // Guards against a promotion before the successor has received everything.
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -14,7 +14,7 @@
 constexpr duration hop = 1ms;          ///< Every message.
 constexpr duration service_time = 5ms; ///< Of a caller's statement.
 constexpr duration promotion_time = 300ms;
-constexpr duration lease_check = 50ms;
+constexpr duration store_check = 50ms; ///< For leases, watches and promotions that are due.
 constexpr const char* service = "ledger";
 
 bool starts_with(const std::string& text, const char* prefix)
@@ -39,9 +39,24 @@
     return parsed_statement{{.verb = verb, .text = text}};
 }
 
-error failure(error_kind kind)
+std::string fake_status_row(bool leads, const log_position& received)
 {
-    return error{{.kind = kind, .detail = "fake"}};
+    return std::to_string(leads) + " " + std::to_string(received->term) + " " + std::to_string(received->index);
+}
+
+std::vector<std::string> member_ids(std::size_t count)
+{
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i) {
+        ids.push_back("m" + std::to_string(i));
+    }
+    return ids;
+}
+
+/// A connection's number is unique within its daemon only.
+standin::member_session session_on_member(std::size_t daemon, connection_number connection)
+{
+    return (static_cast<standin::member_session>(daemon) << 32U) | connection;
 }
 
 /// The fakes' configuration is a version and a list of databases.
@@ -116,45 +131,34 @@
 
 } // namespace
 
-struct gateway_world::member_connection {
-    std::string member;
-    transaction_state transaction = transaction_state::none;
-    bool plain = false; ///< The transaction may write.
-    bool wrote = false;
-};
-
-struct gateway_world::fake_member {
-    std::string id;
-    bool up = true;
-    bool dark = false;
-    bool leads = false;
-    std::size_t answers_to_lose = 0;
-    std::size_t connections = 0;
-};
-
 struct gateway_world::fake_daemon {
     std::unique_ptr<gateway_engine> engine;
-    std::map<connection_number, member_connection> connections;
+    std::map<connection_number, std::string> connections; ///< Member by connection.
     std::map<session_number, std::vector<received_reply>> replies;
     bool ready = false;
     bool stopped = false;
     bool refused = false;
-};
-
-struct gateway_world::waiting_watch {
-    std::size_t daemon = 0;
-    store_call call;
-    instant until{};
+    bool alone = false;          ///< Nothing passes between it and other daemons.
+    std::set<std::string> cut{}; ///< Members between which and it nothing passes.
 };
 
 gateway_world::gateway_world(const options& chosen)
-    : lag_(chosen.replica_lag), max_connections_(chosen.max_connections), random_state_(chosen.seed)
-{
-    history_.emplace_back(now_, position_);
-    for (std::size_t i = 0; i < chosen.members; ++i) {
-        const std::string id = "m" + std::to_string(i);
-        members_[id] = fake_member{.id = id, .leads = i == 0};
-        write_item("members/" + id, id + " ready", 0);
+    : service_({.name = service,
+                .members = member_ids(chosen.members),
+                .replica_lag = chosen.replica_lag,
+                .promotion_time = promotion_time,
+                .max_connections = chosen.max_connections,
+                .status_row = fake_status_row}),
+      store_({.promote =
+                  [this](const promote_member& order, instant now) {
+                      const bool accepted = !members_.at(order->member).dark && service_.promote(order->member, now);
+                      return accepted ? call_outcome::done : call_outcome::conflict;
+                  }}),
+      max_connections_(chosen.max_connections), random_state_(chosen.seed)
+{
+    for (const std::string& id : member_ids(chosen.members)) {
+        members_[id] = {};
+        store_.write("members/" + id, id + " ready", 0, now_);
     }
     write_configuration(1, {"fresh", "aged", "own"});
     for (std::size_t i = 0; i < chosen.daemons; ++i) {
@@ -170,7 +174,7 @@
             }
         }
     }
-    expire_leases();
+    advance_store();
     run(2s);
 }
 
@@ -299,16 +303,13 @@
 
 void gateway_world::crash_member(const std::string& id)
 {
-    fake_member& member = members_.at(id);
-    member.up = false;
-    member.connections = 0;
+    service_.crash(id);
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         std::erase_if(daemons_[i]->connections, [&](const auto& each) {
-            const bool ended = each.second.member == id;
-            if (ended) {
+            if (each.second == id) {
                 deliver(i, member_event(member_closed{{.connection = each.first, .end = connection_end::reset}}));
             }
-            return ended;
+            return each.second == id;
         });
     }
 }
@@ -320,7 +321,7 @@
 
 void gateway_world::announce_drain(const std::string& id)
 {
-    write_item("members/" + id, id + " draining", 0);
+    store_.write("members/" + id, id + " draining", 0, now_);
 }
 
 void gateway_world::lose_answers(const std::string& id, std::size_t count)
@@ -331,15 +332,9 @@
 void gateway_world::refuse_store(std::size_t daemon, bool refused)
 {
     daemons_[daemon]->refused = refused;
-    if (!refused) {
-        return;
-    }
-    for (const waiting_watch& each : watches_) {
-        if (each.daemon == daemon) {
-            deliver(daemon, store_answer{{.number = each.call->number, .outcome = call_outcome::unanswered}});
-        }
+    if (refused) {
+        store_.cut_watches(daemon);
     }
-    std::erase_if(watches_, [daemon](const waiting_watch& each) { return each.daemon == daemon; });
 }
 
 void gateway_world::write_configuration(std::uint64_t version, const std::set<std::string>& databases)
@@ -348,7 +343,7 @@
     for (const std::string& each : databases) {
         value += " " + each;
     }
-    write_item("op/config", value, 0);
+    store_.write("op/config", value, 0, now_);
 }
 
 void gateway_world::terminate(std::size_t daemon)
@@ -356,14 +351,31 @@
     deliver(daemon, control_event::terminate);
 }
 
-std::string gateway_world::leader() const
+void gateway_world::cut_member(std::size_t daemon, const std::string& id, bool cut)
+{
+    if (cut) {
+        daemons_[daemon]->cut.insert(id);
+    } else {
+        daemons_[daemon]->cut.erase(id);
+    }
+}
+
+void gateway_world::cut_peers(std::size_t daemon, bool cut)
 {
-    for (const auto& [id, each] : members_) {
-        if (each.leads && each.up && !each.dark) {
-            return id;
+    daemons_[daemon]->alone = cut;
+    const auto kind = cut ? peer_event_kind::disconnected : peer_event_kind::connected;
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        if (i != daemon) {
+            deliver(i, peer_event{{.from = "d" + std::to_string(daemon), .kind = kind}});
+            deliver(daemon, peer_event{{.from = "d" + std::to_string(i), .kind = kind}});
         }
     }
-    return {};
+}
+
+std::string gateway_world::leader() const
+{
+    const auto leader = service_.leader();
+    return leader && !members_.at(*leader).dark ? *leader : std::string{};
 }
 
 bool gateway_world::ready(std::size_t daemon) const
@@ -378,19 +390,14 @@
 
 std::size_t gateway_world::connections_in_use(const std::string& id) const
 {
-    std::size_t count = 0;
-    for (const auto& daemon : daemons_) {
-        for (const auto& [number, each] : daemon->connections) {
-            count += each.member == id && each.transaction != transaction_state::none ? 1 : 0;
-        }
-    }
-    return count;
+    return service_.open_transactions(id);
 }
 
 std::size_t gateway_world::runs(const std::string& request_id) const
 {
-    const auto found = runs_.find(request_id);
-    return found == runs_.end() ? 0 : found->second;
+    const auto& all = service_.runs();
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](const auto& each) { return each.request_id == request_id; }));
 }
 
 void gateway_world::obey(std::size_t daemon, const member_command& command)
@@ -404,288 +411,83 @@
     } else if (const auto* closing = std::get_if<close_member>(&command)) {
         const auto found = daemons_[daemon]->connections.find((*closing)->connection);
         if (found != daemons_[daemon]->connections.end()) {
-            --members_.at(found->second.member).connections;
+            service_.close(found->second, session_on_member(daemon, found->first));
             daemons_[daemon]->connections.erase(found);
         }
     }
 }
 
+bool gateway_world::silent(std::size_t daemon, const std::string& member) const
+{
+    return members_.at(member).dark || daemons_[daemon]->cut.contains(member);
+}
+
 void gateway_world::open_connection(std::size_t daemon, const open_member& command)
 {
-    fake_member& member = members_.at(command->address);
+    const std::string& member = command->address;
     const auto ended = [&](connection_end end, duration later, std::optional<error> why = std::nullopt) {
         at(later, [this, daemon, number = command->connection, end, why] {
             daemons_[daemon]->engine->handle(
                 member_event(member_closed{{.connection = number, .end = end, .failure = why}}), now_);
         });
     };
-    if (member.dark) {
+    if (silent(daemon, member)) {
         ended(connection_end::no_answer, 400ms);
-    } else if (!member.up) {
+    } else if (!service_.up(member)) {
         ended(connection_end::refused, 2 * hop);
-    } else if (member.connections >= max_connections_) {
-        ended(connection_end::rejected, 2 * hop, failure(error_kind::too_many_connections));
+    } else if (const auto refusal = service_.open(member, session_on_member(daemon, command->connection))) {
+        ended(connection_end::rejected, 2 * hop, error{{.kind = *refusal, .detail = "fake"}});
     } else {
-        ++member.connections;
-        daemons_[daemon]->connections[command->connection] = member_connection{.member = member.id};
+        daemons_[daemon]->connections[command->connection] = member;
         deliver(daemon, member_event(member_opened{{.connection = command->connection}}));
     }
 }
 
-log_position gateway_world::position_of(const fake_member& member) const
+void gateway_world::run_query(std::size_t daemon, connection_number connection, const member_query& query)
 {
-    if (member.leads) {
-        return position_;
-    }
-    log_position held = history_.front().second;
-    for (const auto& [when, position] : history_) {
-        if (when + lag_ <= now_) {
-            held = position;
-        }
-    }
-    return held;
-}
-
-void gateway_world::commit()
-{
-    position_ = log_position{{.term = position_->term, .index = position_->index + 1}};
-    history_.emplace_back(now_, position_);
-}
-
-void gateway_world::run_query(std::size_t daemon, connection_number number, const member_query& query)
-{
-    const auto found = daemons_[daemon]->connections.find(number);
-    if (found == daemons_[daemon]->connections.end() || members_.at(found->second.member).dark) {
+    const auto found = daemons_[daemon]->connections.find(connection);
+    if (found == daemons_[daemon]->connections.end() || silent(daemon, found->second)) {
         return;
     }
-    fake_member& member = members_.at(found->second.member);
     const bool forwarded = !query->request_id.empty();
-    at(forwarded ? service_time : duration{}, [this, daemon, number, query, &member, forwarded] {
-        const auto still = daemons_[daemon]->connections.find(number);
-        if (still == daemons_[daemon]->connections.end() || !member.up || member.dark) {
-            return;
-        }
-        member_reply_fields reply = answer_to(member, still->second, query);
-        reply.connection = number;
-        reply.state = still->second.transaction;
-        reply.position = position_of(member);
-        if (forwarded && member.answers_to_lose > 0) {
-            --member.answers_to_lose;
-            return;
-        }
-        deliver(daemon, member_event(member_reply{std::move(reply)}));
-    });
+    at(forwarded ? service_time : duration{},
+       [this, daemon, connection, query] { answer_query(daemon, connection, query); });
 }
 
-member_reply_fields gateway_world::answer_to(fake_member& member, member_connection& connection,
-                                             const member_query& query)
-{
-    member_reply_fields reply{.receipt = "-"};
-    const member_statement& body = query->body;
-    if (const auto* sent = std::get_if<forwarded_statement>(&body)) {
-        answer_forwarded(member, connection, query, (*sent)->text, (*sent)->after, reply);
-    } else if (std::holds_alternative<begin_leading>(body)) {
-        if (member.leads) {
-            connection.transaction = transaction_state::open;
-            connection.plain = true;
-            connection.wrote = false;
-        } else {
-            reply.failure = failure(error_kind::not_primary);
-        }
-    } else if (const auto* reading = std::get_if<begin_reading>(&body)) {
-        if (position_of(member) >= reading->after) {
-            connection.transaction = transaction_state::open;
-            connection.plain = false;
-        } else {
-            reply.failure = failure(error_kind::replica_behind);
-        }
-    } else if (std::holds_alternative<roll_back>(body)) {
-        connection.transaction = transaction_state::none;
-    } else if (std::holds_alternative<ask_status>(body) || std::holds_alternative<step_down>(body)) {
-        const log_position position = position_of(member);
-        member.leads = member.leads && !std::holds_alternative<step_down>(body);
-        reply.rows = {std::to_string(member.leads) + " " + std::to_string(position->term) + " " +
-                      std::to_string(position->index)};
-    }
-    return reply;
-}
-
-void gateway_world::answer_forwarded(fake_member& member, member_connection& connection, const member_query& query,
-                                     const std::string& text, const std::optional<log_position>& after,
-                                     member_reply_fields& reply)
+void gateway_world::answer_query(std::size_t daemon, connection_number connection, const member_query& query)
 {
-    const bool writes = starts_with(text, "WRITE");
-    const bool in_plain = connection.transaction == transaction_state::open && connection.plain;
-    const bool commits = text == "COMMIT";
-    if (after && position_of(member) < *after) {
-        reply.failure = failure(error_kind::replica_behind);
+    const auto found = daemons_[daemon]->connections.find(connection);
+    if (found == daemons_[daemon]->connections.end() || members_.at(found->second).dark) {
         return;
     }
-    if (!member.leads && (writes || (in_plain && !(commits && !connection.wrote)))) {
-        reply.failure = failure(error_kind::not_primary);
-        connection.transaction =
-            connection.transaction == transaction_state::none ? transaction_state::none : transaction_state::failed;
+    member_reply_fields reply = service_.answer(found->second, session_on_member(daemon, connection), query, now_);
+    reply.connection = connection;
+    std::size_t& to_lose = members_.at(found->second).answers_to_lose;
+    if (!query->request_id.empty() && to_lose > 0) {
+        --to_lose;
         return;
     }
-    ++runs_[query->request_id];
-    reply.receipt = "ran-" + query->request_id;
-    if (connection.transaction == transaction_state::none) {
-        if (writes) {
-            commit();
-        }
-        return;
-    }
-    connection.wrote = connection.wrote || writes;
-    if (commits) {
-        if (connection.wrote) {
-            commit();
-        }
-        connection.transaction = transaction_state::none;
+    if (!silent(daemon, found->second)) {
+        deliver(daemon, member_event(member_reply{std::move(reply)}));
     }
 }
 
 void gateway_world::obey(std::size_t daemon, const store_call& call)
 {
-    const bool refused = daemons_[daemon]->refused && !std::holds_alternative<promote_member>(call->body);
-    if (refused) {
+    if (daemons_[daemon]->refused && !std::holds_alternative<promote_member>(call->body)) {
         deliver(daemon, store_answer{{.number = call->number, .outcome = call_outcome::refused}});
         return;
     }
     at(hop, [this, daemon, call] {
-        if (std::holds_alternative<watch_range>(call->body)) {
-            watches_.push_back({daemon, call, now_ + std::get<watch_range>(call->body)->wait});
-            wake_watches();
-            return;
-        }
-        store_answer_fields answer = carry_out(call);
-        answer.number = call->number;
-        deliver(daemon, store_answer{std::move(answer)});
+        store_.carry_out(daemon, call, now_, [this, daemon](const store_answer& answer) { deliver(daemon, answer); });
     });
 }
 
-store_answer_fields gateway_world::carry_out(const store_call& call)
+void gateway_world::advance_store()
 {
-    store_answer_fields answer{.revision = revision_};
-    if (const auto* range = std::get_if<read_range>(&call->body)) {
-        for (const auto& [key, item] : items_) {
-            if (starts_with(key, (*range)->prefix.c_str())) {
-                answer.items.push_back(item);
-            }
-        }
-    } else if (const auto* change = std::get_if<change_items>(&call->body)) {
-        for (const expected_revision& each : (*change)->expected) {
-            const auto held = items_.find(each->key);
-            if ((held == items_.end() ? 0 : held->second->revision) != each->revision) {
-                answer.outcome = call_outcome::conflict;
-                return answer;
-            }
-        }
-        for (const store_item& each : (*change)->writes) {
-            write_item(each->key, each->value, each->lease);
-        }
-        answer.revision = revision_;
-    } else if (const auto* grant = std::get_if<grant_lease>(&call->body)) {
-        answer.lease = 1000 + call->number + revision_++;
-        answer.time_to_live = (*grant)->time_to_live;
-        leases_[answer.lease] = now_ + (*grant)->time_to_live;
-    } else if (const auto* renewal = std::get_if<renew_lease>(&call->body)) {
-        const auto held = leases_.find((*renewal)->lease);
-        answer.outcome = held == leases_.end() ? call_outcome::missing : call_outcome::done;
-        if (held != leases_.end()) {
-            held->second = now_ + 3s;
-        }
-    } else if (const auto* end = std::get_if<end_lease>(&call->body)) {
-        if (leases_.contains((*end)->lease)) {
-            leases_[(*end)->lease] = now_;
-        }
-    } else if (const auto* order = std::get_if<promote_member>(&call->body)) {
-        const fake_member& target = members_.at((*order)->member);
-        if (!target.up || target.dark) {
-            answer.outcome = call_outcome::conflict;
-        } else {
-            promote(*order);
-        }
-    }
-    return answer;
-}
-
-void gateway_world::promote(const promote_member& order)
-{
-    promotions_.push_back(order->member);
-    at(promotion_time, [this, order] {
-        fake_member& next = members_.at(order->member);
-        if (next.leads) {
-            return;
-        }
-        const log_position held = position_of(next);
-        for (auto& [id, each] : members_) {
-            each.leads = id == order->member;
-        }
-        position_ = log_position{{.term = position_->term + 1, .index = held->index}};
-        std::erase_if(history_, [&](const auto& each) { return each.second > held; });
-        history_.emplace_back(now_, position_);
-    });
-}
-
-void gateway_world::write_item(const std::string& key, const std::string& value, lease_number lease)
-{
-    items_[key] = store_item{{.key = key, .value = value, .revision = ++revision_, .lease = lease}};
-    deletions_.erase(key);
-    at(duration{}, [this] { wake_watches(); });
-}
-
-void gateway_world::delete_item(const std::string& key)
-{
-    items_.erase(key);
-    deletions_[key] = ++revision_;
-    at(duration{}, [this] { wake_watches(); });
-}
-
-void gateway_world::wake_watches()
-{
-    std::erase_if(watches_, [this](const waiting_watch& each) {
-        const watch_range& wanted = std::get<watch_range>(each.call->body);
-        store_answer_fields answer{.number = each.call->number, .revision = revision_};
-        for (const auto& [key, item] : items_) {
-            if (starts_with(key, wanted->prefix.c_str()) && item->revision > wanted->after) {
-                answer.items.push_back(item);
-            }
-        }
-        for (const auto& [key, when] : deletions_) {
-            if (starts_with(key, wanted->prefix.c_str()) && when > wanted->after) {
-                answer.items.push_back(store_item{{.key = key, .revision = when, .deleted = true}});
-            }
-        }
-        if (answer.items.empty() && now_ < each.until) {
-            return false;
-        }
-        deliver(each.daemon, store_answer{std::move(answer)});
-        return true;
-    });
-}
-
-void gateway_world::expire_leases()
-{
-    std::set<lease_number> ended;
-    for (const auto& [lease, until] : leases_) {
-        if (until <= now_) {
-            ended.insert(lease);
-        }
-    }
-    std::vector<std::string> keys;
-    for (const auto& [key, item] : items_) {
-        if (ended.contains(item->lease)) {
-            keys.push_back(key);
-        }
-    }
-    for (const std::string& key : keys) {
-        delete_item(key);
-    }
-    for (const lease_number lease : ended) {
-        leases_.erase(lease);
-    }
-    wake_watches();
-    at(lease_check, [this] { expire_leases(); });
+    store_.advance(now_);
+    service_.advance(now_);
+    at(store_check, [this] { advance_store(); });
 }
 
 void gateway_world::pass(std::size_t from, const peer_order& order)
@@ -696,7 +498,8 @@
     }
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         const std::string name = "d" + std::to_string(i);
-        if (i != from && ((*command)->to.empty() || (*command)->to == name)) {
+        if (i != from && !daemons_[i]->alone && !daemons_[from]->alone &&
+            ((*command)->to.empty() || (*command)->to == name)) {
             deliver(i, peer_event{{.from = "d" + std::to_string(from),
                                    .kind = peer_event_kind::received,
                                    .message = (*command)->message}});
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway/gateway_engine.h"
+#include "standin/service_model.h"
+#include "standin/store_model.h"
 
 #include <functional>
 #include <map>
@@ -66,15 +68,17 @@
     void darken_member(const std::string& id);                   ///< Nothing from it arrives any more.
     void announce_drain(const std::string& id);                  ///< It reports that it is leaving.
     void lose_answers(const std::string& id, std::size_t count); ///< The next answers of callers' statements get lost.
-    void set_replica_lag(duration lag) { lag_ = lag; }
+    void set_replica_lag(duration lag) { service_.set_replica_lag(lag); }
     void refuse_store(std::size_t daemon, bool refused); ///< The store turns this daemon away.
     void write_configuration(std::uint64_t version, const std::set<std::string>& databases);
     void terminate(std::size_t daemon);
+    void cut_member(std::size_t daemon, const std::string& id, bool cut); ///< Nothing passes between the two.
+    void cut_peers(std::size_t daemon, bool cut);                         ///< Nothing passes to or from other daemons.
 
     // What is seen from outside.
     [[nodiscard]] std::string leader() const;
-    [[nodiscard]] log_position committed() const { return position_; }
-    [[nodiscard]] const std::vector<std::string>& promotions() const { return promotions_; }
+    [[nodiscard]] log_position committed() const { return service_.committed(); }
+    [[nodiscard]] const std::vector<std::string>& promotions() const { return service_.promotions(); }
     [[nodiscard]] bool ready(std::size_t daemon) const;
     [[nodiscard]] bool stopped(std::size_t daemon) const;
     [[nodiscard]] std::size_t connections_in_use(const std::string& id) const; ///< Open transactions on the member.
@@ -82,10 +86,13 @@
     [[nodiscard]] std::string last_request() const { return "q" + std::to_string(last_request_); }
 
 private:
-    struct member_connection;
-    struct fake_member;
     struct fake_daemon;
-    struct waiting_watch;
+
+    /// Faults of a member's links.
+    struct member_links {
+        bool dark = false;
+        std::size_t answers_to_lose = 0;
+    };
 
     void at(duration later, std::function<void()> action);
     void start_daemon(std::size_t index);
@@ -94,36 +101,19 @@
     void obey(std::size_t daemon, const member_command& command);
     void open_connection(std::size_t daemon, const open_member& command);
     void run_query(std::size_t daemon, connection_number connection, const member_query& query);
-    member_reply_fields answer_to(fake_member& member, member_connection& connection, const member_query& query);
-    void answer_forwarded(fake_member& member, member_connection& connection, const member_query& query,
-                          const std::string& text, const std::optional<log_position>& after,
-                          member_reply_fields& reply);
-    [[nodiscard]] log_position position_of(const fake_member& member) const;
-    void commit();
+    void answer_query(std::size_t daemon, connection_number connection, const member_query& query);
+    [[nodiscard]] bool silent(std::size_t daemon, const std::string& member) const;
     void obey(std::size_t daemon, const store_call& call);
-    store_answer_fields carry_out(const store_call& call);
-    void promote(const promote_member& order);
-    void write_item(const std::string& key, const std::string& value, lease_number lease);
-    void delete_item(const std::string& key);
-    void wake_watches();
-    void expire_leases();
+    void advance_store();
     void pass(std::size_t from, const peer_order& order);
 
     instant now_{std::chrono::seconds(1000)};
     std::multimap<instant, std::function<void()>> agenda_;
     std::vector<std::unique_ptr<fake_daemon>> daemons_;
-    std::map<std::string, fake_member> members_; ///< By id.
-    duration lag_;
+    std::map<std::string, member_links> members_; ///< By id.
+    standin::service_model service_;
+    standin::store_model store_;
     std::uint32_t max_connections_;
-    log_position position_{{.term = 1, .index = 0}};
-    std::vector<std::pair<instant, log_position>> history_; ///< When the leader reached each position.
-    std::map<std::string, store_item> items_;
-    std::map<std::string, kv_revision> deletions_;
-    std::map<lease_number, instant> leases_;
-    std::vector<waiting_watch> watches_;
-    kv_revision revision_ = 1;
-    std::vector<std::string> promotions_;
-    std::map<std::string, std::size_t> runs_;
     session_number last_session_ = 0;
     std::uint64_t last_request_ = 0;
     std::uint64_t random_state_;
--- a/tools/standin/http_server.cc
+++ b/tools/standin/http_server.cc
@@ -213,6 +213,7 @@
         });
     }
 
+    asio::io_context& loop() { return context_; }
     void run() { context_.run(); }
     void stop() { context_.stop(); }
 
@@ -280,6 +281,11 @@
     parts_->after(delay, std::move(action));
 }
 
+boost::asio::io_context& http_server::loop()
+{
+    return parts_->loop();
+}
+
 void http_server::run()
 {
     parts_->run();
--- a/tools/standin/http_server.h
+++ b/tools/standin/http_server.h
@@ -10,6 +10,10 @@
 #include <memory>
 #include <string>
 
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
 namespace citronfall::standin {
 
 /// Number of a client's connection, unique within one event loop.
@@ -57,6 +61,9 @@
     /// Calls `action` after `delay`.
     void after(duration delay, std::function<void()> action);
 
+    /// The loop itself, for ports of other protocols.
+    [[nodiscard]] boost::asio::io_context& loop();
+
     /// Serves until stop() is called.
     void run();
 
--- /dev/null
+++ b/tools/standin/line_server.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "citronfall/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace citronfall::standin {
+
+/// Number of a connection, unique within one server.
+using line_connection = std::uint64_t;
+
+/// What a listening port does.
+struct line_server_options {
+    std::string address;                                                    ///< "ip:port"
+    std::function<void(line_connection, const std::string& line)> received; ///< Line end cut off.
+    std::function<void(line_connection)> closed;                            ///< The peer ended the connection.
+};
+
+/// A TCP port whose messages are lines that end with CR LF.
+///
+/// Not thread-safe: used on the thread that runs the event loop.
+class line_server {
+public:
+    /// Error (bad_request): the address is malformed or taken. Precondition: `loop` outlives the server.
+    [[nodiscard]] static result<std::unique_ptr<line_server>> make(boost::asio::io_context& loop,
+                                                                   line_server_options options);
+
+    ~line_server();
+    line_server(const line_server&) = delete;
+    line_server& operator=(const line_server&) = delete;
+    line_server(line_server&&) = delete;
+    line_server& operator=(line_server&&) = delete;
+
+    /// Sends bytes; ignored if the connection has ended.
+    void send(line_connection connection, const std::string& bytes);
+
+    /// Closes a connection behind what was sent. `closed` is not called.
+    void close(line_connection connection);
+
+    /// Resets all connections and refuses new ones, as a process that ended.
+    void stop();
+
+    /// Listens again. Error (bad_request): the address is taken.
+    [[nodiscard]] result<done> restart();
+
+private:
+    class parts;
+
+    explicit line_server(std::shared_ptr<parts> all);
+
+    std::shared_ptr<parts> parts_;
+};
+
+} // namespace citronfall::standin
--- /dev/null
+++ b/tools/standin/store_model.cc
@@ -0,0 +1,203 @@
+#include "standin/store_model.h"
+
+#include <utility>
+
+namespace citronfall::standin {
+namespace {
+
+/// Items of one page of a range.
+constexpr std::size_t page_items = 500;
+
+} // namespace
+
+void store_model::carry_out(store_client_number client, const store_call& call, instant now, const answer_hook& answer)
+{
+    advance(now);
+    if (const auto* watch = std::get_if<watch_range>(&call->body)) {
+        watches_.push_back({.client = client, .call = call, .answer = answer, .until = now + (*watch)->wait});
+        answer_watches(now);
+        return;
+    }
+    store_answer_fields fields = answer_now(call, now);
+    fields.number = call->number;
+    answer(store_answer{std::move(fields)});
+    answer_watches(now);
+}
+
+store_answer_fields store_model::answer_now(const store_call& call, instant now)
+{
+    if (const auto* range = std::get_if<read_range>(&call->body)) {
+        return read_page(*range);
+    }
+    if (const auto* wanted = std::get_if<change_items>(&call->body)) {
+        return change(*wanted, now);
+    }
+    if (const auto* wanted = std::get_if<grant_lease>(&call->body)) {
+        return grant(*wanted, now);
+    }
+    if (const auto* wanted = std::get_if<renew_lease>(&call->body)) {
+        return renew(*wanted, now);
+    }
+    if (const auto* wanted = std::get_if<end_lease>(&call->body)) {
+        const auto held = leases_.find((*wanted)->lease);
+        if (held == leases_.end()) {
+            return {.outcome = call_outcome::missing};
+        }
+        held->second.until = now;
+        advance(now);
+        return {};
+    }
+    return promote(std::get<promote_member>(call->body), now);
+}
+
+store_answer_fields store_model::read_page(const read_range& range) const
+{
+    store_answer_fields answer{.revision = revision_};
+    for (auto each = items_.upper_bound(std::max(range->after_key, range->prefix)); each != items_.end(); ++each) {
+        if (!each->first.starts_with(range->prefix)) {
+            break;
+        }
+        if (answer.items.size() == page_items) {
+            answer.more_pages = true;
+            break;
+        }
+        answer.items.push_back(each->second);
+    }
+    return answer;
+}
+
+store_answer_fields store_model::change(const change_items& wanted, instant now)
+{
+    store_answer_fields answer;
+    for (const expected_revision& each : wanted->expected) {
+        const auto held = items_.find(each->key);
+        if ((held == items_.end() ? 0 : held->second->revision) != each->revision) {
+            answer.outcome = call_outcome::conflict;
+        }
+        if (held != items_.end()) {
+            answer.items.push_back(held->second);
+        }
+    }
+    if (answer.outcome == call_outcome::conflict) {
+        return answer;
+    }
+    answer.items.clear();
+    for (const store_item& each : wanted->writes) {
+        if (each->lease != 0 && !leases_.contains(each->lease)) {
+            return {.outcome = call_outcome::missing};
+        }
+    }
+    for (const store_item& each : wanted->writes) {
+        write(each->key, each->value, each->lease, now);
+    }
+    for (const std::string& each : wanted->deletes) {
+        remove(each, now);
+    }
+    answer.revision = revision_;
+    return answer;
+}
+
+store_answer_fields store_model::grant(const grant_lease& wanted, instant now)
+{
+    const lease_number number = ++last_lease_;
+    leases_[number] = {.until = now + wanted->time_to_live, .time_to_live = wanted->time_to_live};
+    return {.lease = number, .time_to_live = wanted->time_to_live};
+}
+
+store_answer_fields store_model::renew(const renew_lease& wanted, instant now)
+{
+    const auto held = leases_.find(wanted->lease);
+    if (held == leases_.end()) {
+        return {.outcome = call_outcome::missing};
+    }
+    held->second.until = now + held->second.time_to_live;
+    return {.lease = wanted->lease, .time_to_live = held->second.time_to_live};
+}
+
+store_answer_fields store_model::promote(const promote_member& order, instant now)
+{
+    std::uint64_t& highest = fences_[order->service];
+    if (order->fence < highest) {
+        return {.outcome = call_outcome::conflict};
+    }
+    highest = order->fence;
+    return {.outcome = options_.promote(order, now)};
+}
+
+void store_model::write(const std::string& key, const std::string& value, lease_number lease, instant now)
+{
+    items_[key] = store_item{{.key = key, .value = value, .revision = ++revision_, .lease = lease}};
+    deletions_.erase(key);
+    answer_watches(now);
+}
+
+void store_model::remove(const std::string& key, instant now)
+{
+    if (items_.erase(key) > 0) {
+        deletions_[key] = ++revision_;
+        answer_watches(now);
+    }
+}
+
+void store_model::advance(instant now)
+{
+    std::vector<std::string> ended;
+    for (const auto& [key, item] : items_) {
+        const auto held = leases_.find(item->lease);
+        if (item->lease != 0 && (held == leases_.end() || held->second.until <= now)) {
+            ended.push_back(key);
+        }
+    }
+    std::erase_if(leases_, [now](const auto& each) { return each.second.until <= now; });
+    for (const std::string& key : ended) {
+        remove(key, now);
+    }
+    answer_watches(now);
+}
+
+void store_model::cut_watches(store_client_number client)
+{
+    std::erase_if(watches_, [client](const waiting_watch& each) {
+        if (each.client == client) {
+            each.answer(store_answer{{.number = each.call->number, .outcome = call_outcome::unanswered}});
+        }
+        return each.client == client;
+    });
+}
+
+void store_model::answer_watches(instant now)
+{
+    for (auto each = watches_.begin(); each != watches_.end();) {
+        each = answer_watch(*each, now) ? watches_.erase(each) : std::next(each);
+    }
+}
+
+bool store_model::answer_watch(const waiting_watch& watch, instant now) const
+{
+    const watch_range& wanted = std::get<watch_range>(watch.call->body);
+    store_answer_fields answer{.number = watch.call->number, .revision = revision_};
+    if (wanted->after < oldest_known_) {
+        answer.outcome = call_outcome::history_gone;
+        watch.answer(store_answer{std::move(answer)});
+        return true;
+    }
+    for (auto each = items_.lower_bound(wanted->prefix);
+         each != items_.end() && each->first.starts_with(wanted->prefix); ++each) {
+        if (each->second->revision > wanted->after) {
+            answer.items.push_back(each->second);
+        }
+    }
+    for (auto each = deletions_.lower_bound(wanted->prefix);
+         each != deletions_.end() && each->first.starts_with(wanted->prefix); ++each) {
+        if (each->second > wanted->after) {
+            answer.items.push_back(store_item{{.key = each->first, .revision = each->second, .deleted = true}});
+        }
+    }
+    if (answer.items.empty() && now < watch.until) {
+        return false;
+    }
+    watch.answer(store_answer{std::move(answer)});
+    return true;
+}
+
+} // namespace citronfall::standin
--- /dev/null
+++ b/tools/standin/store_model.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "citronfall/instant.h"
+#include "mirror/store_answer.h"
+#include "mirror/store_call.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace citronfall::standin {
+
+/// Who calls the store, numbered by whoever passes the calls on.
+using store_client_number = std::uint64_t;
+
+/// Hooks of a store model.
+struct store_model_options {
+    std::function<call_outcome(const promote_member&, instant)> promote; ///< done or conflict.
+};
+
+/// The platform's store: revisions, conditional changes, leases and watches, without a network.
+///
+/// Time is told by each call. Fences of promotions are checked by service. Not thread-safe.
+class store_model {
+public:
+    using answer_hook = std::function<void(const store_answer&)>;
+
+    explicit store_model(store_model_options options) : options_(std::move(options)) {}
+
+    /// Carries out a call of a client. `answer` is called once, for a watch perhaps by a later call of this class.
+    void carry_out(store_client_number client, const store_call& call, instant now, const answer_hook& answer);
+
+    /// Writes an item as the operators and members do, who need no condition.
+    void write(const std::string& key, const std::string& value, lease_number lease, instant now);
+
+    /// Removes an item, if it is there.
+    void remove(const std::string& key, instant now);
+
+    /// Ends leases and answers watches that are due. To be called every few tens of milliseconds.
+    void advance(instant now);
+
+    /// Forgets all changes so far: watches that continue from them get history_gone.
+    void forget_history() { oldest_known_ = revision_; }
+
+    /// Answers the waiting watches of a client as unanswered.
+    void cut_watches(store_client_number client);
+
+private:
+    struct waiting_watch {
+        store_client_number client = 0;
+        store_call call;
+        answer_hook answer;
+        instant until{};
+    };
+
+    store_answer_fields answer_now(const store_call& call, instant now);
+    store_answer_fields read_page(const read_range& range) const;
+    store_answer_fields change(const change_items& wanted, instant now);
+    store_answer_fields grant(const grant_lease& wanted, instant now);
+    store_answer_fields renew(const renew_lease& wanted, instant now);
+    store_answer_fields promote(const promote_member& order, instant now);
+    bool answer_watch(const waiting_watch& watch, instant now) const;
+    void answer_watches(instant now);
+
+    struct running_lease {
+        instant until{};
+        duration time_to_live{};
+    };
+
+    store_model_options options_;
+    std::map<std::string, store_item> items_;
+    std::map<std::string, kv_revision> deletions_; ///< Last deletion by key.
+    std::map<lease_number, running_lease> leases_;
+    std::map<std::string, std::uint64_t> fences_; ///< Highest fence by service.
+    std::list<waiting_watch> watches_;
+    kv_revision revision_ = 1;
+    kv_revision oldest_known_ = 0; ///< Watches from before get history_gone.
+    lease_number last_lease_ = 1000;
+};
+
+} // namespace citronfall::standin
