--- a/src/relay/vanished_homes.cc
+++ b/src/relay/vanished_homes.cc
@@ -3,9 +3,8 @@
 namespace citronfall {
 namespace {
 
-/// A daemon that lives registers again within this time once its link is back; links that are cut mostly return within
-/// seconds.
-constexpr duration memory = std::chrono::seconds(4);
+/// As long as a change of primary waits for daemons that cannot be asked.
+constexpr duration memory = std::chrono::milliseconds(7500);
 
 } // namespace
 
--- a/src/takeover/primary_change.cc
+++ b/src/takeover/primary_change.cc
@@ -12,8 +12,9 @@
 constexpr duration answers_bound = std::chrono::milliseconds(150);
 
 /// A daemon that reaches fewer than half of the daemons waits this long after the loss of the primary: the others may
-/// still reach it, and a change would roll back what they confirm. A change has to be over within 9 s.
-constexpr duration isolation_bound = std::chrono::seconds(6);
+/// still reach it, and a change would roll back what they confirm. A change has to be over within 9 s; noticing the
+/// loss and the change itself take about one.
+constexpr duration isolation_bound = std::chrono::milliseconds(7500);
 
 /// For members to tell their positions. A status waits for a slot.
 constexpr duration positions_bound = std::chrono::milliseconds(150);
