End connections of callers that stop within a message; test the wire over sockets

Cause: after the start of a session, half a line could wait for ever and hold up to 1 MiB. A message now has 5 s from its first byte to its end. The new socket tests run the whole path before the stand-ins and cover bad input of every kind; the case of half a line failed before.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -28,8 +28,9 @@
 /// Bytes held for a caller that does not read: twice the longest message.
 constexpr std::size_t max_unsent_bytes = 2 * 1024 * 1024;
 
-/// For a caller to send its first message. Callers themselves wait two seconds for its answer.
-constexpr duration start_timeout = std::chrono::seconds(5);
+/// For a caller to send its first message, or the rest of a message that it began: a caller that went silent would hold
+/// up to a megabyte. Callers themselves wait two seconds for the answer to their first message.
+constexpr duration message_timeout = std::chrono::seconds(5);
 
 /// Pause after a failed accept, which otherwise fails again at once while descriptors are short.
 constexpr duration accept_pause = std::chrono::milliseconds(20);
@@ -66,10 +67,11 @@
 
 private:
     struct session {
-        explicit session(tcp::socket accepted) : socket(std::move(accepted)), start_timer(socket.get_executor()) {}
+        explicit session(tcp::socket accepted) : socket(std::move(accepted)), message_timer(socket.get_executor()) {}
 
         tcp::socket socket;
-        asio::steady_timer start_timer;
+        asio::steady_timer message_timer;
+        bool timed = false; ///< The timer runs.
         caller_decoder decoder;
         std::string writing;
         std::string unsent;
@@ -80,6 +82,7 @@
 
     void accept();
     void add_session(tcp::socket socket);
+    void time_message(session_number number, const session_ptr& each);
     void wait_readable(session_number number, const session_ptr& each);
     void read(session_number number, const session_ptr& each);
     void take_replies();
@@ -153,15 +156,29 @@
     each->socket.non_blocking(true, ignored);
     each->decoder = options_.make_decoder(number);
     sessions_.emplace(number, each);
-    each->start_timer.expires_after(start_timeout);
-    each->start_timer.async_wait([this, number, each](error_code code) {
-        if (!code && !each->started) {
-            drop(number, false);
-        }
-    });
+    time_message(number, each);
     read(number, each);
 }
 
+/// Runs the timer from the first byte of a message until the message is whole.
+void caller_server::parts::time_message(session_number number, const session_ptr& each)
+{
+    const bool whole = each->started && each->decoder.pending() == 0;
+    if (whole && each->timed) {
+        each->timed = false;
+        each->message_timer.cancel();
+    } else if (!whole && !each->timed) {
+        each->timed = true;
+        each->message_timer.expires_after(message_timeout);
+        each->message_timer.async_wait([this, number, each](error_code code) {
+            const bool due = each->message_timer.expiry() <= asio::steady_timer::clock_type::now();
+            if (!code && each->timed && due) {
+                drop(number, each->started);
+            }
+        });
+    }
+}
+
 /// Idle sessions hold no buffer: the socket is read once it is readable.
 void caller_server::parts::wait_readable(session_number number, const session_ptr& each)
 {
@@ -186,10 +203,7 @@
     }
     each->decoder.add({buffer_.data(), count});
     while (const auto event = each->decoder.next()) {
-        if (!each->started) {
-            each->started = true;
-            each->start_timer.cancel();
-        }
+        each->started = true;
         options_.notify(*event);
         const auto* malformed = std::get_if<caller_malformed>(&*event);
         if (malformed != nullptr && (*malformed)->fatal) {
@@ -200,6 +214,7 @@
             return;
         }
     }
+    time_message(number, each);
     wait_readable(number, each);
 }
 
@@ -268,7 +283,7 @@
     const session_ptr each = found->second;
     sessions_.erase(found);
     error_code ignored;
-    each->start_timer.cancel(ignored);
+    each->message_timer.cancel(ignored);
     each->socket.shutdown(tcp::socket::shutdown_both, ignored);
     each->socket.close(ignored);
     if (tell) {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -18,6 +18,7 @@
 struct caller_decoder {
     std::function<void(std::string_view)> add;         ///< Received bytes.
     std::function<std::optional<caller_event>()> next; ///< The next whole message; nothing if more bytes are needed.
+    std::function<std::size_t()> pending;              ///< Bytes of a message that is not whole.
 };
 
 /// Settings and hooks of a caller server. The hooks are called on the thread of run().
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -1,7 +1,7 @@
 #include "load/load_client.h"
 #include "load/load_run.h"
+#include "standin/free_port.h"
 #include "standin/http_server.h"
-#include "support/free_port.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,7 +81,7 @@
 {
     // Guards against coordinated omission: a client that waits for answers before it sends sees 20 ms each.
     standin::http_server server;
-    const std::string address = "127.0.0.1:" + std::to_string(testing::free_port());
+    const std::string address = "127.0.0.1:" + std::to_string(standin::free_port());
     duration busy{};
     REQUIRE(ok(
         server.listen({.address = address,
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -1,7 +1,7 @@
 #include "peer/neighbour_choice.h"
 #include "peer/peer_codec.h"
 #include "peer/peer_service.h"
-#include "support/free_port.h"
+#include "standin/free_port.h"
 
 #include <chrono>
 #include <memory>
@@ -147,8 +147,8 @@
 // Guards against lost messages, a peer that is not noticed as gone, and connections that are never reopened.
 TEST_CASE("peers connect, exchange messages and reconnect", "[peer]")
 {
-    const std::string one = testing::free_address();
-    const std::string two = testing::free_address();
+    const std::string one = standin::free_address();
+    const std::string two = standin::free_address();
     running_peer first("one", one, {two});
     {
         running_peer second("two", two, {one});
@@ -171,7 +171,7 @@
 // Guards against a bad frame that is accepted, ends the daemon, or is not counted.
 TEST_CASE("a bad frame closes the connection and is counted", "[peer]")
 {
-    const std::uint16_t port = testing::free_port();
+    const std::uint16_t port = standin::free_port();
     running_peer subject("one", "127.0.0.1:" + std::to_string(port), {});
     const std::string hello = peer_codec::encode(all_messages.front());
     const std::string digest = peer_codec::encode(all_messages[1]);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -1,5 +1,5 @@
 #include "settings/settings_codec.h"
-#include "support/free_port.h"
+#include "standin/free_port.h"
 
 #include <cstdio>
 #include <filesystem>
--- a/tests/support/running_front_end.h
+++ b/tests/support/running_front_end.h
@@ -4,7 +4,7 @@
 #include "citronfall/caller_request.h"
 #include "frontend/http_front_end.h"
 #include "frontend/responder.h"
-#include "support/free_port.h"
+#include "standin/free_port.h"
 
 #include <chrono>
 #include <stdexcept>
@@ -24,7 +24,7 @@
 class running_front_end {
 public:
     explicit running_front_end(running_front_end_options options = {})
-        : address_(free_address()), responder_(take(responder::make(options.bounds))),
+        : address_(standin::free_address()), responder_(take(responder::make(options.bounds))),
           front_end_({.settings = listening(options.settings),
                       .submit = [this](decision_event event) { return submit(std::move(event)); },
                       .respond = [this](responder_message message) { push(std::move(message)); },
--- /dev/null
+++ b/tests/support/running_gateway.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "platform/platform.h"
+#include "platform/standin/caller_client.h"
+#include "platform/standin/deployment_server.h"
+#include "standin/free_port.h"
+#include "standin/http_server.h"
+#include "standin/settings_text.h"
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+#include <unistd.h>
+
+#include <easylogging++.h>
+
+namespace citronfall::testing {
+
+/// A daemon of the users' platform before the stand-in of a store and of three members, on loopback, in threads of this
+/// process. The databases "fresh", "aged" and "own" have one route of each consistency.
+class running_gateway {
+public:
+    running_gateway()
+    {
+        el::Loggers::reconfigureAllLoggers(el::ConfigurationType::Enabled, "false");
+        const std::string store = standin::free_address();
+        const std::string duties = standin::free_address();
+        platform_ = made(platform::standin::deployment_server::make(loop_, {.store = store,
+                                                                            .duties = duties,
+                                                                            .members = {{"a", standin::free_address()},
+                                                                                        {"b", standin::free_address()},
+                                                                                        {"c", standin::free_address()}},
+                                                                            .configuration = configuration()}));
+        loop_thread_ = std::thread([this] { loop_.run(); });
+        write_settings(gateway_settings{{.name = "d0",
+                                         .region = "r",
+                                         .data_center = "d",
+                                         .callers = address_,
+                                         .probe = standin::free_address(),
+                                         .probe_path = "/ready",
+                                         .store = store,
+                                         .duties = duties}});
+        subject_ = made(gateway::make(made(platform::read_settings(file_)), platform::make_platform(file_)));
+        thread_ = std::thread([this] { subject_->run(); });
+        wait_until_served();
+    }
+
+    ~running_gateway()
+    {
+        subject_->terminate();
+        thread_.join();
+        loop_.stop();
+        loop_thread_.join();
+        std::remove(file_.c_str());
+    }
+
+    running_gateway(const running_gateway&) = delete;
+    running_gateway& operator=(const running_gateway&) = delete;
+    running_gateway(running_gateway&&) = delete;
+    running_gateway& operator=(running_gateway&&) = delete;
+
+    /// Where callers connect.
+    [[nodiscard]] const std::string& address() const { return address_; }
+
+private:
+    template <class T>
+    static T made(result<T> outcome)
+    {
+        if (!ok(outcome)) {
+            throw std::runtime_error(error_of(outcome)->detail);
+        }
+        return take(std::move(outcome));
+    }
+
+    static deployment configuration()
+    {
+        deployment_fields fields{.version = 1, .idle_transaction_limit = std::chrono::seconds(3)};
+        for (const auto& [database, consistency] :
+             {std::pair{"fresh", read_consistency::primary}, std::pair{"aged", read_consistency::bounded_staleness},
+              std::pair{"own", read_consistency::read_your_writes}}) {
+            fields.routes[database] = route{{.name = database,
+                                             .database = database,
+                                             .service = "ledger",
+                                             .consistency = consistency,
+                                             .statement_timeout = std::chrono::milliseconds(800),
+                                             .target_latency = std::chrono::milliseconds(250),
+                                             .max_staleness = std::chrono::milliseconds(1500)}};
+        }
+        fields.services["ledger"] = service_policy{{.name = "ledger", .max_connections = 20}};
+        return deployment{std::move(fields)};
+    }
+
+    void write_settings(const gateway_settings& settings) const
+    {
+        std::ofstream(file_) << standin::settings_text(settings);
+    }
+
+    void wait_until_served() const
+    {
+        constexpr auto pause = std::chrono::milliseconds(50);
+        for (int attempt = 0; attempt < 200; ++attempt) {
+            platform::standin::caller_client caller(address_);
+            const auto started = caller.start("own", std::chrono::seconds(1));
+            if (started.whole && !started.refusal && !caller.ask("probe", "READ x", std::chrono::seconds(1)).refusal) {
+                return;
+            }
+            std::this_thread::sleep_for(pause);
+        }
+        throw std::runtime_error("the daemon does not serve");
+    }
+
+    std::string address_ = standin::free_address();
+    std::string file_ = "/tmp/citronfall-test-" + std::to_string(::getpid()) + ".json";
+    standin::http_server loop_;
+    std::unique_ptr<platform::standin::deployment_server> platform_;
+    std::thread loop_thread_;
+    std::unique_ptr<gateway> subject_;
+    std::thread thread_;
+};
+
+} // namespace citronfall::testing
--- a/tests/support/running_system.h
+++ b/tests/support/running_system.h
@@ -4,10 +4,10 @@
 #include "daemon/daemon.h"
 #include "document/document_change.h"
 #include "document_codec/document_codec.h"
+#include "standin/free_port.h"
 #include "standin/group_server.h"
 #include "standin/http_server.h"
 #include "standin/platform_server.h"
-#include "support/free_port.h"
 #include "support/raw_client.h"
 
 #include <memory>
@@ -29,11 +29,11 @@
     explicit running_system(std::size_t daemons = 1)
     {
         el::Loggers::reconfigureAllLoggers(el::ConfigurationType::Enabled, "false");
-        const std::string members[] = {free_address(), free_address(), free_address()};
+        const std::string members[] = {standin::free_address(), standin::free_address(), standin::free_address()};
         group_ = made(standin::group_server::make(
             loop_, {.admin_address = admin_, .members = {{"a", members[0]}, {"b", members[1]}, {"c", members[2]}}}));
-        platform_server_ =
-            made(standin::platform_server::make(loop_, {.address = platform_, .admin_address = free_address()}));
+        platform_server_ = made(
+            standin::platform_server::make(loop_, {.address = platform_, .admin_address = standin::free_address()}));
         loop_thread_ = std::thread([this] { loop_.run(); });
         accept_document(members[0], members[1], members[2]);
         for (std::size_t i = 0; i < daemons; ++i) {
@@ -141,7 +141,7 @@
 
     void start_daemon()
     {
-        const std::string address = free_address();
+        const std::string address = standin::free_address();
         auto subject = made(daemon::make(daemon_settings{{.name = "entry-" + std::to_string(daemons_.size()),
                                                           .region = "r",
                                                           .data_center = "d",
@@ -162,8 +162,8 @@
         throw std::runtime_error("the daemon does not become ready");
     }
 
-    std::string admin_ = free_address();
-    std::string platform_ = free_address();
+    std::string admin_ = standin::free_address();
+    std::string platform_ = standin::free_address();
     standin::http_server loop_;
     std::unique_ptr<standin::group_server> group_;
     std::unique_ptr<standin::platform_server> platform_server_;
--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,122 @@
+#include "platform/standin/caller_client.h"
+#include "support/running_gateway.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace citronfall;
+using namespace std::chrono_literals;
+using platform::standin::caller_client;
+using platform::standin::received_answer;
+
+namespace {
+
+/// Sends bytes on a connection of its own and returns the first line that comes back, or "closed" or "silent".
+std::string sent_alone(const std::string& address, const std::string& bytes, std::chrono::milliseconds bound = 3s)
+{
+    caller_client caller(address);
+    caller.send(bytes);
+    if (const auto line = caller.line(bound)) {
+        return *line;
+    }
+    return caller.connected() ? "silent" : "closed";
+}
+
+bool ended(const std::string& reply)
+{
+    return reply == "closed" || reply.starts_with("ERROR");
+}
+
+bool succeeded(const received_answer& answer)
+{
+    return answer.whole && !answer.refusal;
+}
+
+} // namespace
+
+TEST_CASE("statements, transactions and prepared names work over sockets", "[wire]")
+{
+    // Guards against differences between the codecs' tests and the whole path.
+    testing::running_gateway system;
+    caller_client caller(system.address());
+    REQUIRE(succeeded(caller.start("own", 2s)));
+    CHECK(succeeded(caller.ask("w1", "WRITE slot-1 rao", 2s)));
+    const auto read = caller.ask("r1", "READ slot-1", 2s);
+    CHECK(read.rows == std::vector<std::string>{"rao"});
+    CHECK(succeeded(caller.ask("p1", "PREPARE s1 WRITE shape", 2s)));
+    CHECK(succeeded(caller.ask("b1", "BEGIN", 2s)));
+    CHECK(caller.ask("e1", "EXECUTE s1 slot-2 shah", 2s).state == transaction_state::open);
+    CHECK(caller.ask("c1", "COMMIT", 2s).state == transaction_state::none);
+    CHECK(caller.ask("r2", "READ slot-2", 2s).rows == std::vector<std::string>{"shah"});
+    CHECK(succeeded(caller.ask("b2", "BEGIN", 2s)));
+    CHECK(succeeded(caller.ask("w2", "WRITE slot-1 patel", 2s)));
+    CHECK(succeeded(caller.ask("a2", "ROLLBACK", 2s)));
+    CHECK(caller.ask("r3", "READ slot-1", 2s).rows == std::vector<std::string>{"rao"});
+    CHECK(caller.ask("x1", "EXECUTE unknown slot-1", 2s).refusal);
+}
+
+TEST_CASE("bad input ends its own connection and harms no other", "[wire]")
+{
+    testing::running_gateway system;
+    caller_client other(system.address());
+    REQUIRE(succeeded(other.start("own", 2s)));
+    auto unharmed = [&, number = 0]() mutable {
+        return succeeded(other.ask("o" + std::to_string(++number), "READ x", 2s));
+    };
+
+    SECTION("a statement before the session's start")
+    {
+        CHECK(ended(sent_alone(system.address(), "QUERY a READ x\r\n")));
+        CHECK(unharmed());
+    }
+    SECTION("an unknown kind of message")
+    {
+        CHECK(ended(sent_alone(system.address(), "HELLO world\r\n")));
+        CHECK(unharmed());
+    }
+    SECTION("a line over the protocol's bound")
+    {
+        constexpr std::size_t over_bound = 1024 * 1024 + 1;
+        CHECK(ended(sent_alone(system.address(), "STARTUP " + std::string(over_bound, 'x') + "\r\n")));
+        CHECK(unharmed());
+    }
+    SECTION("a line without an end")
+    {
+        // Guards against memory that grows with what a caller sends.
+        caller_client endless(system.address());
+        const std::string block(64 * 1024, 'x');
+        bool open = true;
+        for (int i = 0; i < 1024 && open; ++i) {
+            open = endless.send(block);
+        }
+        CHECK_FALSE(open);
+        CHECK(unharmed());
+    }
+    SECTION("half a line, then silence")
+    {
+        // Guards against connections that hold memory for ever.
+        CHECK(ended(sent_alone(system.address(), "STARTUP own", 8s)));
+        caller_client started(system.address());
+        REQUIRE(succeeded(started.start("own", 2s)));
+        started.send("QUERY a REA");
+        CHECK_FALSE(started.line(15s));
+        CHECK_FALSE(started.connected());
+        CHECK(unharmed());
+    }
+    SECTION("random bytes")
+    {
+        std::mt19937 random(7);
+        for (int round = 0; round < 200; ++round) {
+            std::string bytes(random() % 400, '\0');
+            for (char& c : bytes) {
+                c = static_cast<char>(random());
+            }
+            CHECK(ended(sent_alone(system.address(), bytes + "\r\n")));
+        }
+        CHECK(unharmed());
+    }
+}
--- a/tests/support/free_port.cc
+++ b/tools/standin/free_port.cc
@@ -1,4 +1,4 @@
-#include "support/free_port.h"
+#include "standin/free_port.h"
 
 #include <stdexcept>
 
@@ -7,7 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace citronfall::testing {
+namespace citronfall::standin {
 
 std::uint16_t free_port()
 {
@@ -30,4 +30,4 @@
     return "127.0.0.1:" + std::to_string(free_port());
 }
 
-} // namespace citronfall::testing
+} // namespace citronfall::standin
--- a/tests/support/free_port.h
+++ b/tools/standin/free_port.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace citronfall::testing {
+namespace citronfall::standin {
 
 /// A TCP port of 127.0.0.1 that was free a moment ago; found by binding port 0. Thread-safe.
 [[nodiscard]] std::uint16_t free_port();
@@ -11,4 +11,4 @@
 /// "127.0.0.1:port" with a free port. Thread-safe.
 [[nodiscard]] std::string free_address();
 
-} // namespace citronfall::testing
+} // namespace citronfall::standin
