Ask a peer for a missed change also when other peers missed it too; status and explain for operators

The new test fails without the change (no request at all). Ruled out: the stand-in (a third daemon got version 4 by a fresh read).

--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -2,6 +2,7 @@
 
 #include "ctl/daemon_commands.h"
 #include "ctl/document_commands.h"
+#include "ctl/gateway_commands.h"
 
 #include <algorithm>
 #include <array>
@@ -17,8 +18,12 @@
     std::string_view help;
 };
 
-constexpr std::array<command_row, 10> commands{
-    {{"status", run_operator_command,
+constexpr std::array<command_row, 12> commands{
+    {{"gateway", run_gateway_command,
+      "gateway                          leaders, members and configuration of a daemon on the users' platform"},
+     {"explain", run_explain_command,
+      "explain ID FILE...               what the logs of daemons say about one request"},
+     {"status", run_operator_command,
       "status                           sections: state, revision, spread, differences"},
      {"document", run_document_command,
       "document show|history            the document, from --platform or from --daemon\n"
@@ -57,6 +62,8 @@
     }
     return text + R"(
 Examples:
+  citronfallctl --daemon 10.1.0.5:8785 gateway
+  citronfallctl explain 4d8cbf4b6c3413b7 frontend-1.log frontend-2.log
   citronfallctl --daemon 10.1.0.5:8080 status
   citronfallctl --platform 10.1.0.2:7000 document show > document.json
   citronfallctl --platform 10.1.0.2:7000 document diff document.json
--- /dev/null
+++ b/src/ctl/log_trace.cc
@@ -0,0 +1,205 @@
+#include "ctl/log_trace.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <sstream>
+
+namespace citronfall {
+namespace {
+
+/// Lines of this kind that are shown before and after the request, of each file.
+constexpr std::size_t context_before = 6;
+constexpr std::size_t context_after = 4;
+
+constexpr std::array<std::string_view, 15> beliefs = {
+    "started",        "lifecycle",       "leader_lost", "leader_found",    "member_reach",
+    "primary_change", "primary_changed", "member_gone", "member_removed",  "configuration_in_force",
+    "store_lost",     "store_regained",  "duty_free",   "process_stalled", "lines_omitted"};
+
+/// One line, taken apart.
+struct trace_line {
+    std::string text; ///< As it stands in the file.
+    std::string time;
+    std::string event;
+    std::map<std::string, std::string> fields;
+
+    [[nodiscard]] std::string field(const std::string& key) const
+    {
+        const auto found = fields.find(key);
+        return found == fields.end() ? std::string{} : found->second;
+    }
+};
+
+/// Reads "key=value" or "key="quoted value"" at `at` and moves behind it.
+std::optional<std::pair<std::string, std::string>> next_field(std::string_view text, std::size_t& at)
+{
+    const std::size_t equals = text.find('=', at);
+    if (equals == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::size_t blank = text.rfind(' ', equals);
+    const std::size_t start = blank == std::string_view::npos || blank < at ? at : blank + 1;
+    const bool quoted = equals + 1 < text.size() && text[equals + 1] == '"';
+    const std::size_t first = equals + (quoted ? 2 : 1);
+    const std::size_t end = std::min(text.find(quoted ? '"' : ' ', first), text.size());
+    at = std::min(end + 1, text.size());
+    return std::pair{std::string(text.substr(start, equals - start)), std::string(text.substr(first, end - first))};
+}
+
+std::optional<trace_line> read_line(const std::string& text)
+{
+    std::size_t at = text.find("event=");
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    trace_line line{.text = text, .time = text.substr(0, text.find(' ')), .event = {}, .fields = {}};
+    while (const auto field = next_field(text, at)) {
+        line.fields.insert(*field);
+    }
+    line.event = line.field("event");
+    return line;
+}
+
+std::vector<trace_line> read_lines(const std::string& text)
+{
+    std::vector<trace_line> lines;
+    std::istringstream source(text);
+    for (std::string each; std::getline(source, each);) {
+        if (auto line = read_line(each)) {
+            lines.push_back(std::move(*line));
+        }
+    }
+    return lines;
+}
+
+bool is_belief(const trace_line& line)
+{
+    return std::find(beliefs.begin(), beliefs.end(), line.event) != beliefs.end();
+}
+
+/// The changes of belief of one daemon around the lines `first` to `last`.
+std::vector<std::string> context_of(const std::vector<trace_line>& lines, std::size_t first, std::size_t last)
+{
+    std::vector<std::string> before;
+    for (std::size_t i = first; i > 0 && before.size() < context_before; --i) {
+        if (is_belief(lines[i - 1])) {
+            before.push_back(lines[i - 1].text);
+        }
+    }
+    std::reverse(before.begin(), before.end());
+    for (std::size_t i = first; i < last; ++i) {
+        if (is_belief(lines[i])) {
+            before.push_back(lines[i].text);
+        }
+    }
+    std::size_t after = 0;
+    for (std::size_t i = last + 1; i < lines.size() && after < context_after; ++i) {
+        if (is_belief(lines[i])) {
+            before.push_back(lines[i].text);
+            ++after;
+        }
+    }
+    return before;
+}
+
+std::string last_event(const std::vector<trace_line>& lines, std::size_t before, const std::string& event)
+{
+    for (std::size_t i = before; i > 0; --i) {
+        if (lines[i - 1].event == event) {
+            return lines[i - 1].text;
+        }
+    }
+    return {};
+}
+
+struct attempt_count {
+    std::size_t sent = 0;
+    std::size_t relayed = 0;
+    std::string last_member;
+    std::string refusals; ///< Reasons of members that did not run it.
+};
+
+std::string describe_not_sent(const trace_line& answer, const std::vector<trace_line>& lines, std::size_t at)
+{
+    const std::string outcome = answer.field("outcome");
+    if (outcome == "no_primary") {
+        const std::string lost = last_event(lines, at, "leader_lost");
+        return "refused as not run: no leader was known" +
+               (lost.empty() ? std::string(" since the daemon's start") : "; last loss: " + lost);
+    }
+    return "refused as not run (" + outcome + "): " + answer.field("detail");
+}
+
+std::string conclude(const trace_line& answer, const attempt_count& attempts, const std::vector<trace_line>& lines,
+                     std::size_t at)
+{
+    const std::string outcome = answer.field("outcome");
+    const std::string took = answer.field("took_us") + " us";
+    const std::string asked_again = attempts.refusals.empty() ? "" : "; members refused it before:" + attempts.refusals;
+    if (outcome == "done") {
+        return "answered by " + answer.field("member") + " after " + took + ", " + std::to_string(attempts.sent) +
+               " attempts" + asked_again;
+    }
+    if (outcome == "outcome_unknown") {
+        return "in doubt: sent to " + attempts.last_member + ", and no answer came (" + answer.field("detail") +
+               "); it may have run and is not sent again";
+    }
+    if (attempts.sent == 0 && attempts.relayed == 0) {
+        return describe_not_sent(answer, lines, at);
+    }
+    return outcome + " after " + took + ": " + answer.field("detail") + asked_again;
+}
+
+/// Adds what one daemon's log says.
+void trace_file(std::string_view id, const log_file& file, log_explanation& found)
+{
+    const auto lines = read_lines(file.text);
+    std::optional<std::size_t> first;
+    std::size_t last = 0;
+    attempt_count attempts;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        const trace_line& line = lines[i];
+        if (line.field("id") != id) {
+            continue;
+        }
+        first = first.value_or(i);
+        last = i;
+        found.lines.push_back(file.name + ": " + line.text);
+        if (line.event == "statement_sent") {
+            ++attempts.sent;
+            attempts.last_member = line.field("member");
+        } else if (line.event == "statement_relayed") {
+            ++attempts.relayed;
+        } else if (line.event == "statement_requeued") {
+            attempts.refusals += " " + line.field("member") + " (" + line.field("reason") + ")";
+        } else if (line.event == "request_answered") {
+            found.conclusion += file.name + ": " + conclude(line, attempts, lines, i) + "\n";
+        }
+    }
+    if (first) {
+        for (const std::string& each : context_of(lines, *first, last)) {
+            found.context.push_back(file.name + ": " + each);
+        }
+    }
+}
+
+} // namespace
+
+log_explanation explain_request(std::string_view request_id, const std::vector<log_file>& files)
+{
+    log_explanation found;
+    for (const log_file& each : files) {
+        trace_file(request_id, each, found);
+    }
+    if (found.lines.empty()) {
+        found.conclusion = "no line names this request: it did not reach these daemons, or its lines were among those "
+                           "that lines_omitted counts\n";
+    } else if (found.conclusion.empty()) {
+        found.conclusion = "not answered in these logs: the daemon ended, or its caller left before\n";
+    }
+    return found;
+}
+
+} // namespace citronfall
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -110,6 +110,7 @@
       probes_({.address = settings_->probe,
                .ready_path = settings_->probe_path,
                .metrics_path = "/metrics",
+               .report_path = "/status",
                .metrics_address = settings_->metrics}),
       replies_(callers_.replies()), commands_(members_.commands())
 {
@@ -152,6 +153,7 @@
             .log = [this](const log_line& line, instant now) { log_.add(line, now); },
             .ready = [this](bool ready) { probes_.set_ready(ready); },
             .publish = [this](const metrics_report& report) { probes_.publish(report); },
+            .publish_report = [this](const gateway_report& report) { probes_.publish(report); },
             .reload = [this] { reload(); },
             .stop = [this] { stopped_ = true; },
             .random = make_random(),
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -410,7 +410,7 @@
 
 void gateway_engine::publish_metrics(instant now)
 {
-    static_cast<void>(now);
+    options_.publish_report(report(now));
     metrics_report report = metrics_.report(0);
     report = with(report, [this](metrics_report_fields& fields) {
         fields.counters["sessions"] = sessions_->size();
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -11,6 +11,7 @@
 #include "event_log/event_log.h"
 #include "gateway/gateway_event.h"
 #include "gateway/gateway_lifecycle.h"
+#include "gateway/gateway_report.h"
 #include "gateway/gateway_settings.h"
 #include "lead/lead_monitor.h"
 #include "metrics/metrics_table.h"
@@ -40,6 +41,7 @@
     std::function<void(const log_line&, instant)> log;
     std::function<void(bool)> ready;
     std::function<void(const metrics_report&)> publish;
+    std::function<void(const gateway_report&)> publish_report;
     std::function<void()> reload;
     std::function<void()> stop;
     std::function<std::uint64_t(std::uint64_t)> random; ///< A number below its argument.
@@ -66,6 +68,9 @@
     /// Work that is due. To be called when next() is reached and at least every 50 ms.
     void tick(instant now);
 
+    /// What operators are told.
+    [[nodiscard]] gateway_report report(instant now) const;
+
     /// When tick() is wanted next.
     [[nodiscard]] instant next(instant now) const;
 
@@ -108,6 +113,7 @@
     void reach_changed(const std::string& member, member_reach reach, instant now);
     void tick_services(instant now);
     void publish_metrics(instant now);
+    [[nodiscard]] reported_service report_service(const std::string& service, instant now) const;
     result<done> add_change(const std::string& service);
     [[nodiscard]] peer_question ask_peers(const std::string& service, const std::string& member, term_number term,
                                           instant now);
@@ -142,6 +148,7 @@
     call_number last_call_ = 0;
     std::uint64_t last_question_ = 0;
     bool directory_changed_ = false;
+    bool ready_ = false; ///< As the probe was told last.
 };
 
 } // namespace citronfall
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -206,7 +206,11 @@
 {
     auto lifecycle = gateway_lifecycle::make(
         {.grace = options_.settings->grace,
-         .ready = options_.ready,
+         .ready =
+             [this](bool ready) {
+                 ready_ = ready;
+                 options_.ready(ready);
+             },
          .leave = [this](instant now) { presence_->leave(now); },
          .stop = options_.stop,
          .at = [this](instant due, std::function<void(instant)> call) { timers_.arm(due, std::move(call)); },
--- /dev/null
+++ b/src/gateway/gateway_engine_report.cc
@@ -0,0 +1,55 @@
+#include "gateway/gateway_engine.h"
+
+namespace citronfall {
+
+gateway_report gateway_engine::report(instant now) const
+{
+    const auto& configuration = directory_->configuration();
+    gateway_report_fields fields{.daemon = options_.settings->name,
+                                 .ready = ready_,
+                                 .configuration_version = configuration ? (*configuration)->version : 0,
+                                 .routes = configuration ? (*configuration)->routes.size() : 0,
+                                 .sessions = sessions_->size(),
+                                 .statements = dispatcher_->size(),
+                                 .daemons = directory_->daemons().size(),
+                                 .peers = peers_.size()};
+    for (const std::string& service : used_services_) {
+        fields.services.push_back(report_service(service, now));
+    }
+    for (const auto& [id, each] : pool_->members()) {
+        const auto known = services_.find(each.entry->service);
+        fields.members.push_back({.id = id,
+                                  .service = each.entry->service,
+                                  .address = each.entry->address,
+                                  .reach = member_reach_name(each.health.reach()),
+                                  .leads = known != services_.end() && known->second.lead.leader() == id,
+                                  .draining = each.entry->draining,
+                                  .listed = each.listed,
+                                  .connections = each.all.size(),
+                                  .idle = each.idle.size(),
+                                  .running = each.running});
+    }
+    return gateway_report{std::move(fields)};
+}
+
+reported_service gateway_engine::report_service(const std::string& service, instant now) const
+{
+    reported_service reported{
+        .name = service, .reached = local_services_.contains(service), .waiting = dispatcher_->waiting(service)};
+    if (const auto known = services_.find(service); known != services_.end()) {
+        const service_state& state = known->second;
+        reported.leader = state.lead.leader().value_or("");
+        reported.term = state.lead.term();
+        if (const auto newest = state.evidence.newest()) {
+            reported.evidence_age = now - *newest;
+        }
+        if (const auto since = state.lead.lost_since()) {
+            reported.leaderless_for = now - *since;
+        }
+    }
+    const auto duty = directory_->duties().find(service);
+    reported.duty_holder = duty == directory_->duties().end() ? "" : duty->second->holder;
+    return reported;
+}
+
+} // namespace citronfall
--- a/src/gateway/probe_server.cc
+++ b/src/gateway/probe_server.cc
@@ -1,6 +1,7 @@
 #include "gateway/probe_server.h"
 
 #include "core/endpoint_address.h"
+#include "gateway/report_text.h"
 #include "metrics/metrics_text.h"
 
 #include <atomic>
@@ -19,9 +20,11 @@
 struct probe_state {
     std::atomic<bool> ready{false};
     std::mutex mutex;
-    metrics_report report;
+    metrics_report metrics;
+    gateway_report report;
     std::string ready_path;
     std::string metrics_path;
+    std::string report_path;
 };
 
 class probe_handler : public http::Handler {
@@ -35,17 +38,25 @@
         if (request.resource() == state_->ready_path) {
             response.send(state_->ready ? http::Code::Ok : http::Code::Service_Unavailable);
         } else if (request.resource() == state_->metrics_path) {
-            response.send(http::Code::Ok, text());
+            response.send(http::Code::Ok, metrics());
+        } else if (request.resource() == state_->report_path) {
+            response.send(http::Code::Ok, report());
         } else {
             response.send(http::Code::Not_Found);
         }
     }
 
 private:
-    std::string text()
+    std::string metrics()
     {
         const std::lock_guard lock(state_->mutex);
-        return metrics_text(state_->report);
+        return metrics_text(state_->metrics);
+    }
+
+    std::string report()
+    {
+        const std::lock_guard lock(state_->mutex);
+        return report_text(state_->report);
     }
 
     std::shared_ptr<probe_state> state_;
@@ -59,6 +70,7 @@
     {
         state_->ready_path = options_.ready_path;
         state_->metrics_path = options_.metrics_path;
+        state_->report_path = options_.report_path;
     }
 
     result<done> start()
@@ -124,6 +136,12 @@
 }
 
 void probe_server::publish(const metrics_report& report)
+{
+    const std::lock_guard lock(parts_->state().mutex);
+    parts_->state().metrics = report;
+}
+
+void probe_server::publish(const gateway_report& report)
 {
     const std::lock_guard lock(parts_->state().mutex);
     parts_->state().report = report;
--- a/src/gateway/probe_server.h
+++ b/src/gateway/probe_server.h
@@ -2,6 +2,7 @@
 
 #include "citronfall/metrics_report.h"
 #include "citronfall/result.h"
+#include "gateway/gateway_report.h"
 
 #include <memory>
 #include <string>
@@ -13,6 +14,7 @@
     std::string address;         ///< "ip:port" of the readiness probe.
     std::string ready_path;      ///< Answered with 200 while the daemon is ready, else with 503.
     std::string metrics_path;    ///< Answered with the newest metrics on each address.
+    std::string report_path;     ///< Answered with the newest report on each address.
     std::string metrics_address; ///< "ip:port"; empty: metrics are served beside the probe only.
 };
 
@@ -35,6 +37,9 @@
     /// What the metrics show from now on.
     void publish(const metrics_report& report);
 
+    /// What the report shows from now on.
+    void publish(const gateway_report& report);
+
     /// Stops answering.
     void stop();
 
--- /dev/null
+++ b/src/gateway/report_text.cc
@@ -0,0 +1,59 @@
+#include "gateway/report_text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronfall {
+namespace {
+
+using json = nlohmann::json;
+
+json whole_ms(const std::optional<duration>& value)
+{
+    return value ? json(std::chrono::duration_cast<std::chrono::milliseconds>(*value).count()) : json();
+}
+
+json to_json(const reported_service& each)
+{
+    return {{"service", each.name},
+            {"leader", each.leader},
+            {"term", each.term},
+            {"evidence_age_ms", whole_ms(each.evidence_age)},
+            {"leaderless_for_ms", whole_ms(each.leaderless_for)},
+            {"duty_holder", each.duty_holder},
+            {"reached", each.reached},
+            {"waiting", each.waiting}};
+}
+
+json to_json(const reported_member& each)
+{
+    return {{"member", each.id},       {"service", each.service},
+            {"address", each.address}, {"reach", each.reach},
+            {"leads", each.leads},     {"draining", each.draining},
+            {"listed", each.listed},   {"connections", each.connections},
+            {"idle", each.idle},       {"running", each.running}};
+}
+
+} // namespace
+
+std::string report_text(const gateway_report& report)
+{
+    json text{{"daemon", report->daemon},
+              {"ready", report->ready},
+              {"configuration_version", report->configuration_version},
+              {"routes", report->routes},
+              {"sessions", report->sessions},
+              {"statements", report->statements},
+              {"daemons", report->daemons},
+              {"peers", report->peers},
+              {"services", json::array()},
+              {"members", json::array()}};
+    for (const reported_service& each : report->services) {
+        text["services"].push_back(to_json(each));
+    }
+    for (const reported_member& each : report->members) {
+        text["members"].push_back(to_json(each));
+    }
+    return text.dump() + "\n";
+}
+
+} // namespace citronfall
--- a/src/mirror/mirror_relay.cc
+++ b/src/mirror/mirror_relay.cc
@@ -61,12 +61,16 @@
     for (std::size_t i = 0; i < ranges; ++i) {
         const store_mirror& mirror = *options_.mirrors[i];
         const kv_revision known = mirror.table().changed_at();
+        // A peer that is just as far behind does not end the wait for what another one offered.
+        if (const auto missed = missed_.find(i); missed != missed_.end() && missed->second.revision <= known) {
+            missed_.erase(missed);
+        }
         if (digest->changed_at[i] <= known) {
-            behind_since_.erase(i);
             continue;
         }
-        const instant since = behind_since_.try_emplace(i, now).first->second;
-        if (!mirror.live() || now - since >= watch_head_start) {
+        const missed_change& missed =
+            missed_.try_emplace(i, missed_change{.revision = digest->changed_at[i], .since = now}).first->second;
+        if (!mirror.live() || now - missed.since >= watch_head_start) {
             options_.log("peer_changes_requested", "peer=" + peer + " prefix=" + mirror.prefix() +
                                                        " known=" + std::to_string(known) +
                                                        " offered=" + std::to_string(digest->changed_at[i]));
--- a/src/mirror/mirror_relay.h
+++ b/src/mirror/mirror_relay.h
@@ -51,11 +51,17 @@
         bool store_live = false;
     };
 
+    /// The newest revision of a range that a peer offered and this daemon lacks.
+    struct missed_change {
+        kv_revision revision = 0;
+        instant since{};
+    };
+
     [[nodiscard]] store_digest digest() const;
 
     mirror_relay_options options_;
     std::map<std::string, peer_state> peers_;
-    std::map<std::size_t, instant> behind_since_; ///< By range.
+    std::map<std::size_t, missed_change> missed_; ///< By range.
     instant next_digest_{};
 };
 
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -209,3 +209,32 @@
     REQUIRE_FALSE(ok(unknown));
     CHECK(error_of(unknown)->kind == error_kind::bad_request);
 }
+
+TEST_CASE("the status of a gateway is shown as tables and as JSON", "[ctl]")
+{
+    tool subject;
+    const std::string body = R"({"daemon":"d0","ready":true,"configuration_version":7,"routes":3,"sessions":12,)"
+                             R"("statements":2,"daemons":7,"peers":6,"services":[{"service":"ledger","leader":"m1",)"
+                             R"("term":2,"evidence_age_ms":40,"leaderless_for_ms":null,"duty_holder":"d3",)"
+                             R"("reached":true,"waiting":0}],"members":[{"member":"m1","service":"ledger",)"
+                             R"("address":"10.0.0.1:80","reach":"good","leads":true,"draining":false,"listed":true,)"
+                             R"("connections":3,"idle":2,"running":1}]})";
+    subject.replies = {http_reply{{.body = body}}, http_reply{{.body = body}}, http_reply{{.body = "[]"}}};
+    CHECK(subject.run({.words = {"gateway"}}) == exit_code::success);
+    CHECK(subject.out.str().find("configuration 7 with 3 routes") != std::string::npos);
+    CHECK(subject.out.str().find("m1") != std::string::npos);
+    CHECK(subject.run({.words = {"gateway"}, .json = true}) == exit_code::success);
+    CHECK(subject.out.str() == body);
+    CHECK(subject.run({.words = {"gateway"}}) == exit_code::failed);
+}
+
+TEST_CASE("explain reads log files and tells when they name no such request", "[ctl]")
+{
+    tool subject;
+    subject.files["a.log"] = "2026-10-23T00:36:01.100 INFO event=statement_sent id=q1 session=6 member=m1\n";
+    CHECK(subject.run({.words = {"explain", "q1", "a.log"}}) == exit_code::success);
+    CHECK(subject.out.str().find("statement_sent") != std::string::npos);
+    CHECK(subject.run({.words = {"explain", "q2", "a.log"}}) == exit_code::failed);
+    CHECK(subject.run({.words = {"explain", "q1"}}) == exit_code::usage);
+    CHECK(subject.run({.words = {"explain", "q1", "missing.log"}}) == exit_code::usage);
+}
--- a/tests/store_mirror_test.cc
+++ b/tests/store_mirror_test.cc
@@ -1,3 +1,4 @@
+#include "mirror/mirror_relay.h"
 #include "mirror/store_mirror.h"
 
 #include <catch2/catch.hpp>
@@ -143,3 +144,30 @@
     fixture.mirror->tick(start);
     CHECK_FALSE(fixture.mirror->handle(store_answer{{.number = 99}}, start));
 }
+
+TEST_CASE("a daemon asks for a missed change although other peers missed it too", "[mirror]")
+{
+    // Guards against a configuration that stays old while a watch hangs: the digest of a peer that was just as far
+    // behind ended the wait for what another peer offered (soak seed 1100).
+    mirror_fixture fixture;
+    fixture.mirror->tick(start);
+    fixture.answer(call_outcome::done, {item("op/config", 24)}, 24, start);
+    fixture.mirror->tick(start + 1s); // The watch hangs from here on.
+    std::vector<std::string> asked;
+    mirror_relay relay({.mirrors = {fixture.mirror.get()},
+                        .send =
+                            [&asked](const std::string& peer, const peer_message& message) {
+                                if (std::holds_alternative<store_request>(message)) {
+                                    asked.push_back(peer);
+                                }
+                            },
+                        .random = [](std::uint64_t) { return 0; },
+                        .log =
+                            [](const std::string&, const std::string&) {
+                            }});
+    for (int second = 2; second < 5; ++second) {
+        relay.handle("ahead", store_digest{{.changed_at = {25}, .store_live = true}}, start + second * 1s);
+        relay.handle("behind", store_digest{{.changed_at = {24}, .store_live = true}}, start + second * 1s + 500ms);
+    }
+    CHECK(asked == std::vector<std::string>{"ahead", "ahead"});
+}
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -214,6 +214,7 @@
          .log = [](const log_line&, instant) {},
          .ready = [&node](bool ready) { node.ready = ready; },
          .publish = [](const metrics_report&) {},
+         .publish_report = [](const gateway_report&) {},
          .reload = [] {},
          .stop = [&node] { node.stopped = true; },
          .random =
--- a/tests/support/running_gateway.h
+++ b/tests/support/running_gateway.h
@@ -48,7 +48,7 @@
                                          .region = "r",
                                          .data_center = "d",
                                          .callers = address_,
-                                         .probe = standin::free_address(),
+                                         .probe = probe_,
                                          .probe_path = "/ready",
                                          .store = store,
                                          .duties = duties}});
@@ -74,6 +74,9 @@
     /// Where callers connect.
     [[nodiscard]] const std::string& address() const { return address_; }
 
+    /// Where probes, metrics and the status are answered.
+    [[nodiscard]] const std::string& probe() const { return probe_; }
+
     /// Runs an action on the stand-in and waits for its end.
     void harm(const std::function<void(platform::standin::deployment_server&)>& action)
     {
@@ -115,6 +118,7 @@
     }
 
     std::string address_ = standin::free_address();
+    std::string probe_ = standin::free_address();
     std::string file_ = "/tmp/citronfall-test-" + std::to_string(::getpid()) + ".json";
     standin::http_server loop_;
     std::unique_ptr<platform::standin::deployment_server> platform_;
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -1,3 +1,4 @@
+#include "http/http_client.h"
 #include "platform/standin/caller_client.h"
 #include "support/running_gateway.h"
 
@@ -8,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 using namespace citronfall;
 using namespace std::chrono_literals;
 using platform::standin::caller_client;
@@ -145,3 +148,25 @@
         }
     });
 }
+
+TEST_CASE("the status names the leader, the members and the configuration in force", "[wire]")
+{
+    // Guards against an on-call engineer who has only counters.
+    testing::running_gateway system;
+    auto client = http_client::make({.address = system.probe()});
+    REQUIRE(ok(client));
+    nlohmann::json status = nlohmann::json::object();
+    for (int attempt = 0; attempt < 100 && status.value("services", nlohmann::json::array()).empty(); ++attempt) {
+        std::this_thread::sleep_for(50ms); // Published each second.
+        const auto reply = std::get<http_client>(client).call(http_request{{.target = "/status"}}, steady_now() + 2s);
+        REQUIRE(ok(reply));
+        status = nlohmann::json::parse(value_of(reply)->body);
+    }
+    CHECK(status.at("daemon") == "d0");
+    CHECK(status.at("ready") == true);
+    CHECK(status.at("configuration_version") == 1);
+    REQUIRE(status.at("services").size() == 1);
+    CHECK(status.at("services").front().at("leader") == "a");
+    CHECK(status.at("services").front().at("evidence_age_ms").get<int>() < 2000);
+    CHECK(status.at("members").size() == 3);
+}
--- a/tools/soak/child_process.cc
+++ b/tools/soak/child_process.cc
@@ -18,6 +18,8 @@
     const int output = ::open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
+    // A listening socket of the soak that lives on in the child would keep its port after the stand-in closed it.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     std::vector<char*> arguments;
     for (const std::string& each : command) {
         arguments.push_back(const_cast<char*>(each.c_str()));
