Close idle connections of daemons that hold none of a member's share, and do not retry for them

Ruled out: a change of primary in progress (none was), a stale configuration. The new test fails in both points without the change.

--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -151,6 +151,7 @@
 {
     return {.limit = target.limit,
             .daemons = target.holders,
+            .held = target.held,
             .open = target.all.size(),
             .opening = target.opening,
             .waiting = target.waiting,
@@ -171,7 +172,7 @@
 /// Keeps one connection open to each member whose connections this daemon shares.
 void member_pool::keep_minimum(pooled_member& target, instant now)
 {
-    if (target.listed && target.all.empty() && (target.held || target.waiting > 0)) {
+    if (target.listed && target.all.empty() && target.held) {
         open(target, now);
     }
 }
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -237,3 +237,29 @@
     fixture.pool->configure(entries, {{"s", {.limit = 10}}}, start);
     CHECK_FALSE(fixture.pool->takes_work("late", start));
 }
+
+TEST_CASE("a daemon that does not hold a member's connections keeps and retries none", "[pool]")
+{
+    // Guards against members whose limit is used up by connections that serve nobody: after a loss of all power each
+    // daemon kept one, and those that hold the service's connections got none.
+    pool_fixture fixture;
+    const std::map<std::string, member_entry> entries{
+        {"m", member_entry{{.id = "m", .service = "s", .address = "127.0.0.1:1"}}}};
+    fixture.open_last(start);
+    fixture.pool->configure(entries, {{"s", {.limit = 10, .holders = 3, .held = false}}}, start);
+    fixture.pool->tick(start + 1500ms);
+    CHECK(fixture.count<close_member>() == 1);
+
+    fixture.pool->want("m", 1, start + 2s);
+    REQUIRE(fixture.count<open_member>() == 2);
+    const connection_number refused = std::get<open_member>(fixture.commands.back())->connection;
+    fixture.pool->handle(
+        member_closed{{.connection = refused,
+                       .end = connection_end::rejected,
+                       .failure = error{{.kind = error_kind::too_many_connections, .detail = "full"}}}},
+        start + 2s);
+    for (int second = 3; second < 10; ++second) {
+        fixture.pool->tick(start + second * 1s);
+    }
+    CHECK(fixture.count<open_member>() == 2);
+}
