Ask a store that keeps refusing less often

The pause doubles from 250 ms to 1.5 s (lease: 1 s); peers pass changes on meanwhile. The new test fails without the change (40 calls in 10 s).

--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -18,16 +18,20 @@
 /// What a watch may take beyond its own wait.
 constexpr duration watch_slack = std::chrono::milliseconds(1500);
 
-/// Pause after a call that failed. All daemons together stay far below the store's rates.
-constexpr duration failure_pause = std::chrono::milliseconds(250);
+/// First pause after a call that failed; a lost answer or a cut connection is made good at once.
+constexpr duration first_failure_pause = std::chrono::milliseconds(250);
 
-/// The same while nothing was read yet and the daemon cannot serve.
+/// Longest pause while calls keep failing: refused calls are priced as well, and peers pass changes on meanwhile.
+constexpr duration longest_failure_pause = std::chrono::milliseconds(1500);
+
+/// Pause while nothing was read yet and the daemon cannot serve.
 constexpr duration unread_pause = std::chrono::milliseconds(100);
 
 } // namespace
 
 store_mirror::store_mirror(store_mirror_options options)
     : options_(std::move(options)), read_timeout_(first_read_timeout),
+      failure_pause_(first_failure_pause, longest_failure_pause),
       table_([this](const store_item& item) { options_.changed(item); })
 {
 }
@@ -146,6 +150,7 @@
             options_.log("store_regained", "prefix=" + options_.prefix);
         }
         read_timeout_ = first_read_timeout;
+        failure_pause_.reset();
         live_ = live_ || what == event::changed || (what == event::page_read && !answer->more_pages);
     }
     fire(what, &answer, now);
@@ -189,7 +194,7 @@
     live_ = false;
     failed_at_ = now;
     read_timeout_ = std::min(read_timeout_ * 2, longest_read_timeout);
-    next_attempt_ = now + (watched_after_ == 0 ? unread_pause : failure_pause);
+    next_attempt_ = now + (watched_after_ == 0 ? unread_pause : failure_pause_.after_failure());
 }
 
 } // namespace citronfall
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -3,6 +3,7 @@
 #include "citronfall/chart_program.h"
 #include "citronfall/instant.h"
 #include "citronfall/result.h"
+#include "core/backoff.h"
 #include "mirror/mirror_table.h"
 #include "mirror/store_answer.h"
 #include "mirror/store_call.h"
@@ -77,6 +78,7 @@
 
     store_mirror_options options_;
     duration read_timeout_; ///< Of the next page read.
+    backoff failure_pause_;
     mirror_table table_;
     std::optional<chart_program<event, context>> program_;
     state_id state_{};
--- a/src/presence/lease_keeper.cc
+++ b/src/presence/lease_keeper.cc
@@ -17,11 +17,19 @@
 /// Bound of one call; longer than a slow store takes, shorter than the time to live.
 constexpr duration call_timeout = std::chrono::milliseconds(800);
 
-/// Pause after a call that failed.
-constexpr duration failure_pause = std::chrono::milliseconds(250);
+/// First pause after a call that failed.
+constexpr duration first_failure_pause = std::chrono::milliseconds(250);
+
+/// Longest pause while calls keep failing; a lease has to be renewed soon after the store returns.
+constexpr duration longest_failure_pause = std::chrono::milliseconds(1000);
 
 } // namespace
 
+lease_keeper::lease_keeper(lease_keeper_options options)
+    : options_(std::move(options)), failure_pause_(first_failure_pause, longest_failure_pause)
+{
+}
+
 result<std::unique_ptr<lease_keeper>> lease_keeper::make(lease_keeper_options options)
 {
     std::unique_ptr<lease_keeper> keeper(new lease_keeper(std::move(options)));
@@ -58,6 +66,7 @@
                      keeper.time_to_live_ = std::max((*each.answer)->time_to_live, duration{});
                      keeper.valid_from_ = keeper.sent_at_;
                      keeper.next_attempt_ = keeper.sent_at_ + keeper.time_to_live_ / renewals_per_lifetime;
+                     keeper.failure_pause_.reset();
                      keeper.options_.log("lease_granted", "lease=" + std::to_string(keeper.lease_));
                  }},
                 {"send_renewal",
@@ -69,6 +78,7 @@
                      lease_keeper& keeper = each.keeper;
                      keeper.valid_from_ = keeper.sent_at_;
                      keeper.next_attempt_ = keeper.sent_at_ + keeper.time_to_live_ / renewals_per_lifetime;
+                     keeper.failure_pause_.reset();
                  }},
                 {"forget_lease",
                  [](context& each) {
@@ -77,7 +87,7 @@
                  }},
                 {"pause",
                  [](context& each) {
-                     each.keeper.next_attempt_ = each.now + failure_pause;
+                     each.keeper.next_attempt_ = each.now + each.keeper.failure_pause_.after_failure();
                  }},
                 {"end_lease",
                  [](context& each) {
--- a/src/presence/lease_keeper.h
+++ b/src/presence/lease_keeper.h
@@ -3,6 +3,7 @@
 #include "citronfall/chart_program.h"
 #include "citronfall/instant.h"
 #include "citronfall/result.h"
+#include "core/backoff.h"
 #include "mirror/store_answer.h"
 #include "mirror/store_call.h"
 
@@ -52,7 +53,7 @@
         instant now;
     };
 
-    explicit lease_keeper(lease_keeper_options options) : options_(std::move(options)) {}
+    explicit lease_keeper(lease_keeper_options options);
 
     result<done> bind();
     static chart_bindings<context> bindings();
@@ -67,6 +68,7 @@
     instant sent_at_{};    ///< Of the call in progress.
     instant valid_from_{}; ///< When the last successful call for the lease was sent.
     instant next_attempt_{};
+    backoff failure_pause_;
     lease_number lease_ = 0;
     duration time_to_live_{};
 };
--- a/tests/store_mirror_test.cc
+++ b/tests/store_mirror_test.cc
@@ -171,3 +171,29 @@
     }
     CHECK(asked == std::vector<std::string>{"ahead", "ahead"});
 }
+
+TEST_CASE("a store that keeps refusing is asked less and less often", "[mirror]")
+{
+    // Guards against calls, which are priced also when they are refused, at a rate that serves nobody while peers pass
+    // changes on. A lost answer is made good within half a second all the same.
+    mirror_fixture fixture;
+    fixture.mirror->tick(start);
+    fixture.answer(call_outcome::done, {item("op/config", 24)}, 24, start);
+    const std::size_t before = fixture.sent.size();
+    fixture.answer(call_outcome::refused, {}, 0, start);
+    instant now = start;
+    for (; now < start + 10s; now += 50ms) {
+        const std::size_t sent = fixture.sent.size();
+        fixture.mirror->tick(now);
+        if (fixture.sent.size() > sent) {
+            fixture.answer(call_outcome::refused, {}, 0, now);
+        }
+        if (now == start + 500ms) {
+            CHECK(fixture.sent.size() > before);
+        }
+    }
+    CHECK(fixture.sent.size() <= before + 12);
+    fixture.mirror->tick(now + 2s);
+    fixture.answer(call_outcome::done, {}, 25, now + 2s);
+    CHECK(fixture.mirror->live());
+}
