Let statements wait for the first leaders of a daemon that has just started

A search is now expected to take 300 ms and given up after 1.5 s, as a change of primary is. The new test fails without the change.

--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -147,7 +147,8 @@
 wait_prospects statement_dispatcher::prospects(const statement_task& task, std::size_t ahead, instant now) const
 {
     const std::string& service = task.request->policy->service;
-    const lead_view& lead = hooks_.service(service).lead;
+    const service_state& known = hooks_.service(service);
+    const lead_view& lead = known.lead;
     const auto floor = floor_of(task, now);
     const bool on_leader = needs_leader(task, now);
     // What the members' logs hold does not matter to a statement that only the leader can serve.
@@ -172,7 +173,8 @@
          .connections = connections,
          .needs_leader = on_leader || connections == 0,
          .leader_known = lead.leader().has_value(),
-         .leader_lost = lead.lost_since()}};
+         .leader_lost = lead.lost_since(),
+         .searched_since = known.searched_since}};
 }
 
 } // namespace citronfall
--- a/src/dispatch/wait_policy.cc
+++ b/src/dispatch/wait_policy.cc
@@ -8,7 +8,10 @@
 /// From the loss of a leader to the first answer of the next: suspicion, positions, promotion.
 constexpr duration typical_change = std::chrono::milliseconds(700);
 
-/// A change that takes longer than this has met trouble; nobody can tell when it ends.
+/// From a daemon's start to its first leaders: connections are set up and one answer arrives from each member.
+constexpr duration typical_search = std::chrono::milliseconds(300);
+
+/// A change or a search that takes longer than this has met trouble; nobody can tell when it ends.
 constexpr duration longest_change = std::chrono::milliseconds(1500);
 
 /// Least time that a change in progress is expected to take still.
@@ -17,19 +20,22 @@
 /// Hint for callers when it is unknown when service returns.
 constexpr duration unknown_return = std::chrono::milliseconds(1000);
 
+/// What is left of something that began at `since` and takes `typical`; nothing if nobody can tell.
+std::optional<duration> remaining(const std::optional<instant>& since, duration typical, instant now)
+{
+    if (!since || now - *since > longest_change) {
+        return std::nullopt;
+    }
+    return std::max(typical - (now - *since), least_remaining);
+}
+
 } // namespace
 
 std::optional<duration> expected_wait(const wait_prospects& prospects)
 {
     if (prospects->needs_leader && !prospects->leader_known) {
-        if (!prospects->leader_lost) {
-            return std::nullopt;
-        }
-        const duration since = prospects->now - *prospects->leader_lost;
-        if (since > longest_change) {
-            return std::nullopt;
-        }
-        return std::max(typical_change - since, least_remaining);
+        return prospects->leader_lost ? remaining(prospects->leader_lost, typical_change, prospects->now)
+                                      : remaining(prospects->searched_since, typical_search, prospects->now);
     }
     if (prospects->connections == 0) {
         return std::nullopt;
--- a/src/dispatch/wait_policy.h
+++ b/src/dispatch/wait_policy.h
@@ -18,7 +18,8 @@
     std::size_t connections = 0; ///< To members that can serve it.
     bool needs_leader = false;
     bool leader_known = true;
-    std::optional<instant> leader_lost{}; ///< Since when no leader is known, if one was.
+    std::optional<instant> leader_lost{};    ///< Since when no leader is known, if one was.
+    std::optional<instant> searched_since{}; ///< When this daemon began to look for the service's first leader.
 
     friend auto operator<=>(const wait_prospects_fields&, const wait_prospects_fields&) = default;
 };
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -383,6 +383,8 @@
     for (const std::string& service : used_services_) {
         if (is_home(service) || connected_homes(service).empty()) {
             local_services_.insert(service);
+            std::optional<instant>& since = services_[service].searched_since;
+            since = since.value_or(now);
         }
     }
     monitor_->tick(local_services_, now);
--- a/src/lead/service_state.h
+++ b/src/lead/service_state.h
@@ -5,6 +5,7 @@
 #include "lead/replica_progress.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace citronfall {
@@ -15,6 +16,7 @@
     lead_view lead;
     evidence_log evidence;
     std::map<std::string, replica_progress> progress; ///< By member.
+    std::optional<instant> searched_since;            ///< When this daemon began to look for a leader.
 };
 
 } // namespace citronfall
--- a/tests/wait_policy_test.cc
+++ b/tests/wait_policy_test.cc
@@ -47,6 +47,19 @@
     CHECK(worth_waiting(wait_prospects{leaderless(600ms)}));
 }
 
+TEST_CASE("a statement waits for the first leader that a starting daemon looks for", "[wait_policy]")
+{
+    // Guards against refusals in the instant before a daemon that has just started finds the leaders: a caller has few
+    // retries, and all daemons start together after a loss of power.
+    auto starting = leaderless(0ms);
+    starting.leader_lost.reset();
+    starting.searched_since = start - 50ms;
+    CHECK(worth_waiting(wait_prospects{starting}));
+    CHECK(retry_after(wait_prospects{starting}) == 250ms);
+    starting.searched_since = start - 5s;
+    CHECK_FALSE(worth_waiting(wait_prospects{starting}));
+}
+
 TEST_CASE("a statement is refused at once when nobody can tell when a leader returns", "[wait_policy]")
 {
     // Guards against holding requests that cannot be served.
