--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -158,7 +158,7 @@
 {
     for (const std::string& id : member_ids(chosen.members)) {
         members_[id] = {};
-        store_.write("members/" + id, id + " ready", 0, now_);
+        store_.write("members/" + id, id + " ready", 0, now());
     }
     write_configuration(1, {"fresh", "aged", "own"});
     for (std::size_t i = 0; i < chosen.daemons; ++i) {
@@ -180,22 +180,6 @@
 
 gateway_world::~gateway_world() = default;
 
-void gateway_world::at(duration later, std::function<void()> action)
-{
-    agenda_.emplace(now_ + later, std::move(action));
-}
-
-void gateway_world::run(duration length)
-{
-    const instant end = now_ + length;
-    while (!agenda_.empty() && agenda_.begin()->first <= end) {
-        auto next = agenda_.extract(agenda_.begin());
-        now_ = next.key();
-        next.mapped()();
-    }
-    now_ = end;
-}
-
 void gateway_world::start_daemon(std::size_t index)
 {
     fake_daemon& node = *daemons_[index];
@@ -206,7 +190,7 @@
          .reply =
              [this, &node](const caller_reply& reply) {
                  const session_number session = std::visit([](const auto& each) { return each->session; }, reply);
-                 node.replies[session].push_back({now_, reply});
+                 node.replies[session].push_back({now(), reply});
              },
          .member = [this, index](const member_command& command) { obey(index, command); },
          .store = [this, index](const store_call& call) { obey(index, call); },
@@ -247,15 +231,15 @@
     if (node.stopped) {
         return;
     }
-    node.engine->tick(now_);
-    at(std::max<duration>(node.engine->next(now_) - now_, hop), [this, index] { tick_daemon(index); });
+    node.engine->tick(now());
+    time_.after(std::max<duration>(node.engine->next(now()) - now(), hop), [this, index] { tick_daemon(index); });
 }
 
 void gateway_world::deliver(std::size_t daemon, const gateway_event& event)
 {
-    at(hop, [this, daemon, event] {
+    time_.after(hop, [this, daemon, event] {
         if (!daemons_[daemon]->stopped) {
-            daemons_[daemon]->engine->handle(event, now_);
+            daemons_[daemon]->engine->handle(event, now());
         }
     });
 }
@@ -280,8 +264,8 @@
 {
     const std::size_t before = replies(daemon, session).size();
     send(daemon, session, text);
-    const instant end = now_ + longest;
-    while (now_ < end && replies(daemon, session).size() == before) {
+    const instant end = now() + longest;
+    while (now() < end && replies(daemon, session).size() == before) {
         run(1ms);
     }
     const auto& list = replies(daemon, session);
@@ -322,7 +306,7 @@
 
 void gateway_world::announce_drain(const std::string& id)
 {
-    store_.write("members/" + id, id + " draining", 0, now_);
+    store_.write("members/" + id, id + " draining", 0, now());
 }
 
 void gateway_world::lose_answers(const std::string& id, std::size_t count)
@@ -344,7 +328,7 @@
     for (const std::string& each : databases) {
         value += " " + each;
     }
-    store_.write("op/config", value, 0, now_);
+    store_.write("op/config", value, 0, now());
 }
 
 void gateway_world::terminate(std::size_t daemon)
@@ -407,7 +391,8 @@
         open_connection(daemon, *opening);
     } else if (const auto* sent = std::get_if<send_queries>(&command)) {
         for (const member_query& query : (*sent)->queries) {
-            at(hop, [this, daemon, connection = (*sent)->connection, query] { run_query(daemon, connection, query); });
+            time_.after(
+                hop, [this, daemon, connection = (*sent)->connection, query] { run_query(daemon, connection, query); });
         }
     } else if (const auto* closing = std::get_if<close_member>(&command)) {
         const auto found = daemons_[daemon]->connections.find((*closing)->connection);
@@ -427,9 +412,9 @@
 {
     const std::string& member = command->address;
     const auto ended = [&](connection_end end, duration later, std::optional<error> why = std::nullopt) {
-        at(later, [this, daemon, number = command->connection, end, why] {
+        time_.after(later, [this, daemon, number = command->connection, end, why] {
             daemons_[daemon]->engine->handle(
-                member_event(member_closed{{.connection = number, .end = end, .failure = why}}), now_);
+                member_event(member_closed{{.connection = number, .end = end, .failure = why}}), now());
         });
     };
     if (silent(daemon, member)) {
@@ -451,8 +436,8 @@
         return;
     }
     const bool forwarded = !query->request_id.empty();
-    at(forwarded ? service_time : duration{},
-       [this, daemon, connection, query] { answer_query(daemon, connection, query); });
+    time_.after(forwarded ? service_time : duration{},
+                [this, daemon, connection, query] { answer_query(daemon, connection, query); });
 }
 
 void gateway_world::answer_query(std::size_t daemon, connection_number connection, const member_query& query)
@@ -461,7 +446,7 @@
     if (found == daemons_[daemon]->connections.end() || members_.at(found->second).dark) {
         return;
     }
-    member_reply_fields reply = service_.answer(found->second, session_on_member(daemon, connection), query, now_);
+    member_reply_fields reply = service_.answer(found->second, session_on_member(daemon, connection), query, now());
     reply.connection = connection;
     std::size_t& to_lose = members_.at(found->second).answers_to_lose;
     if (!query->request_id.empty() && to_lose > 0) {
@@ -479,16 +464,16 @@
         deliver(daemon, store_answer{{.number = call->number, .outcome = call_outcome::refused}});
         return;
     }
-    at(hop, [this, daemon, call] {
-        store_.carry_out(daemon, call, now_, [this, daemon](const store_answer& answer) { deliver(daemon, answer); });
+    time_.after(hop, [this, daemon, call] {
+        store_.carry_out(daemon, call, now(), [this, daemon](const store_answer& answer) { deliver(daemon, answer); });
     });
 }
 
 void gateway_world::advance_store()
 {
-    store_.advance(now_);
-    service_.advance(now_);
-    at(store_check, [this] { advance_store(); });
+    store_.advance(now());
+    service_.advance(now());
+    time_.after(store_check, [this] { advance_store(); });
 }
 
 void gateway_world::pass(std::size_t from, const peer_order& order)
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_engine.h"
+#include "load/virtual_time.h"
 #include "standin/service_model.h"
 #include "standin/store_model.h"
 
@@ -42,10 +43,10 @@
     gateway_world& operator=(gateway_world&&) = delete;
 
     /// Lets time pass.
-    void run(duration length);
+    void run(duration length) { time_.run_until(now() + length); }
 
     /// Present instant.
-    [[nodiscard]] instant now() const { return now_; }
+    [[nodiscard]] instant now() const { return time_.now(); }
 
     /// Opens a session on a daemon and returns its number.
     session_number open(std::size_t daemon, const std::string& database);
@@ -94,7 +95,6 @@
         std::size_t answers_to_lose = 0;
     };
 
-    void at(duration later, std::function<void()> action);
     void start_daemon(std::size_t index);
     void tick_daemon(std::size_t index);
     void deliver(std::size_t daemon, const gateway_event& event);
@@ -107,8 +107,7 @@
     void advance_store();
     void pass(std::size_t from, const peer_order& order);
 
-    instant now_{std::chrono::seconds(1000)};
-    std::multimap<instant, std::function<void()>> agenda_;
+    load::virtual_time time_;
     std::vector<std::unique_ptr<fake_daemon>> daemons_;
     std::map<std::string, member_links> members_; ///< By id.
     standin::service_model service_;
--- a/tests/support/virtual_time.h
+++ b/tests/support/virtual_time.h
@@ -1,28 +1,24 @@
 #pragma once
 
 #include "citronfall/instant.h"
+#include "load/virtual_time.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <random>
+#include <utility>
 
 namespace citronfall::testing {
 
-/// Virtual clock with a queue of actions and a seeded generator: the same seed gives the same run.
+/// Actions in virtual time with a seeded generator: the same seed gives the same run.
 class virtual_time {
 public:
     explicit virtual_time(std::uint64_t seed) : random_(seed) {}
 
-    [[nodiscard]] instant now() const { return now_; }
-
-    /// Runs `action` at `when`, or now if that has passed. Actions of one instant run in the order of their adding.
-    void at(instant when, std::function<void()> action) { actions_.emplace(std::max(when, now_), std::move(action)); }
-
-    void after(duration delay, std::function<void()> action) { at(now_ + delay, std::move(action)); }
-
-    /// Runs all actions that are due until `end`.
-    void run_until(instant end);
+    [[nodiscard]] instant now() const { return actions_.now(); }
+    void at(instant when, std::function<void()> action) { actions_.at(when, std::move(action)); }
+    void after(duration delay, std::function<void()> action) { actions_.after(delay, std::move(action)); }
+    void run_until(instant end) { actions_.run_until(end); }
 
     /// A number in [0, below). Precondition: below > 0.
     [[nodiscard]] std::uint64_t draw(std::uint64_t below) { return random_() % below; }
@@ -33,8 +29,7 @@
     [[nodiscard]] std::uint64_t raw() { return random_(); }
 
 private:
-    instant now_{std::chrono::hours(1)};
-    std::multimap<instant, std::function<void()>> actions_;
+    load::virtual_time actions_{instant(std::chrono::hours(1))};
     std::mt19937_64 random_;
 };
 
--- a/tools/load/virtual_time.h
+++ b/tools/load/virtual_time.h
@@ -2,6 +2,7 @@
 
 #include "citronfall/instant.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <utility>
@@ -11,11 +12,18 @@
 /// Actions in virtual time, run in order of their instants. Single-threaded and deterministic.
 class virtual_time {
 public:
+    virtual_time() = default;
+    explicit virtual_time(instant start) : now_(start) {}
+
     /// Present virtual instant.
     [[nodiscard]] instant now() const { return now_; }
 
-    /// Runs `action` after `delay`. Actions of the same instant run in the order in which they were added.
-    void after(duration delay, std::function<void()> action) { actions_.emplace(now_ + delay, std::move(action)); }
+    /// Runs `action` at `when`, or now if that has passed. Actions of the same instant run in the order in which they
+    /// were added.
+    void at(instant when, std::function<void()> action) { actions_.emplace(std::max(when, now_), std::move(action)); }
+
+    /// Runs `action` after `delay`.
+    void after(duration delay, std::function<void()> action) { at(now_ + delay, std::move(action)); }
 
     /// Runs everything that is due until `end`, with `observe` after each action.
     void run_until(
