--- /dev/null
+++ b/src/caller_session/session_statements.cc
@@ -0,0 +1,208 @@
+#include "caller_session/session_table.h"
+
+#include "caller_session/session_problem.h"
+#include "citronfall/answer_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+std::string outcome_text(const std::optional<error>& failure)
+{
+    return failure ? std::string(answer_for((*failure)->kind).name) : "done";
+}
+
+} // namespace
+
+void session_table::process(caller_session& session, const caller_statement& received, instant now)
+{
+    session.current = received;
+    session.last_used = now;
+    session.task_started = now;
+    const parsed_statement& query = received->query;
+    const bool begins = query->verb == statement_verb::begin || query->verb == statement_verb::begin_read_only;
+    if (begins && !idle(session)) {
+        answer(session, problem(error_kind::bad_request, "a transaction is open"));
+        send_answer(session, now);
+    } else if ((begins || idle(session)) && hooks_.find_route(session.database) == nullptr) {
+        answer(session, problem(error_kind::unknown_database, session.database));
+        send_answer(session, now);
+    } else if (begins) {
+        fire(session, event::begin, nullptr, now);
+    } else if (query->verb == statement_verb::rollback) {
+        fire(session, event::roll_back, nullptr, now);
+    } else if (!runs_on_member(query)) {
+        process_local(session, query);
+        send_answer(session, now);
+    } else if (auto refusal = check_run(session, query)) {
+        answer(session, std::move(refusal));
+        send_answer(session, now);
+    } else {
+        fire(session, event::run, nullptr, now);
+    }
+}
+
+/// SET, PREPARE and DEALLOCATE change only what the session keeps.
+void session_table::process_local(caller_session& session, const parsed_statement& query)
+{
+    if (visible_states_[static_cast<std::size_t>(session.state)] == transaction_state::failed) {
+        answer(session, problem(error_kind::bad_request, "the transaction has failed"));
+        return;
+    }
+    if (query->verb == statement_verb::set) {
+        session.values[query->name] = query->argument;
+    } else if (query->verb == statement_verb::prepare) {
+        session.prepared[query->name] = prepared_shape{{.shape = query->argument, .writes = query->prepares_write}};
+    } else if (session.prepared.erase(query->name) == 0) {
+        answer(session, problem(error_kind::unknown_prepared_name, query->name));
+        return;
+    }
+    answer(session, std::nullopt);
+}
+
+/// Why a statement cannot go to a member, if it cannot.
+std::optional<error> session_table::check_run(const caller_session& session, const parsed_statement& query) const
+{
+    if (query->verb == statement_verb::commit && idle(session)) {
+        return problem(error_kind::bad_request, "no transaction is open");
+    }
+    bool writes = query->verb == statement_verb::write;
+    if (query->verb == statement_verb::execute) {
+        const auto shape = session.prepared.find(query->name);
+        if (shape == session.prepared.end()) {
+            return problem(error_kind::unknown_prepared_name, query->name);
+        }
+        writes = shape->second->writes;
+    }
+    if (writes && !idle(session) && session.read_only) {
+        return problem(error_kind::not_primary, "the transaction only reads");
+    }
+    return std::nullopt;
+}
+
+void session_table::run(caller_session& session, task_kind kind, instant now)
+{
+    const parsed_statement& query = (*session.current)->query;
+    task_request_fields fields{.session = session.number,
+                               .request_id = (*session.current)->request_id,
+                               .query = query,
+                               .policy = session.transaction_route ? *session.transaction_route
+                                                                   : *hooks_.find_route(session.database),
+                               .kind = kind,
+                               .writes = query->verb == statement_verb::write,
+                               .wrote_before = session.wrote,
+                               .proves_lead = kind == task_kind::in_transaction && session.leads,
+                               .own_commits = session.own_commits,
+                               .values = session.values,
+                               .connection = session.connection};
+    if (query->verb == statement_verb::execute) {
+        fields.shape = session.prepared.at(query->name);
+        fields.writes = (*fields.shape)->writes;
+    }
+    session.wrote = session.wrote || (fields.writes && kind != task_kind::single);
+    const session_number number = session.number;
+    const task_number task = hooks_.submit(task_request{std::move(fields)}, now);
+    // The statement may have been answered, and the session may have gone on, before this returns.
+    const auto found = sessions_.find(number);
+    if (found != sessions_.end() && found->second.current) {
+        found->second.task = task;
+    }
+}
+
+void session_table::finished(const task_request& request, const task_outcome& outcome, instant now)
+{
+    const auto found = sessions_.find(request->session);
+    if (found == sessions_.end()) {
+        if (outcome->connection != 0) {
+            hooks_.release(outcome->connection, now);
+        }
+        return;
+    }
+    caller_session& session = found->second;
+    session.task = 0;
+    hooks_.answered(request->policy, outcome, now - session.task_started);
+    hooks_.log("request_answered",
+               "id=" + request->request_id + " session=" + std::to_string(session.number) +
+                   " database=" + session.database + " outcome=" + outcome_text(outcome->failure) +
+                   (outcome->failure ? " detail=\"" + (*outcome->failure)->detail + "\"" : std::string{}) +
+                   " member=" + (outcome->member.empty() ? std::string("none") : outcome->member) +
+                   " took_us=" + std::to_string((now - session.task_started).count()));
+    switch (outcome->state) {
+    case transaction_state::none:
+        fire(session, event::answered_ended, &outcome, now);
+        return;
+    case transaction_state::open:
+        fire(session, event::answered_open, &outcome, now);
+        return;
+    case transaction_state::failed:
+        fire(session, event::answered_failed, &outcome, now);
+        return;
+    }
+}
+
+void session_table::pass_answer(caller_session& session, const task_outcome& outcome, instant now)
+{
+    static_cast<void>(now);
+    if (!outcome->failure) {
+        note_commit(session, outcome);
+    }
+    session.answer = statement_reply_fields{.session = session.number,
+                                            .rows = outcome->rows,
+                                            .receipt = outcome->receipt,
+                                            .failure = outcome->failure,
+                                            .position = outcome->position};
+}
+
+/// Remembers the position of a commit, which later reads of the session must show.
+void session_table::note_commit(caller_session& session, const task_outcome& outcome)
+{
+    const parsed_statement& query = (*session.current)->query;
+    bool writes = query->verb == statement_verb::write;
+    if (query->verb == statement_verb::execute) {
+        const auto shape = session.prepared.find(query->name);
+        writes = shape != session.prepared.end() && shape->second->writes;
+    }
+    const bool committed = (query->verb == statement_verb::commit && session.wrote) ||
+                           (writes && outcome->state == transaction_state::none);
+    if (committed && outcome->position) {
+        session.own_commits = read_floor{{.position = *outcome->position, .known_since = outcome->sent_at}};
+    }
+}
+
+void session_table::answer(caller_session& session, std::optional<error> failure)
+{
+    session.answer = statement_reply_fields{.session = session.number, .failure = std::move(failure)};
+}
+
+void session_table::send_answer(caller_session& session, instant now)
+{
+    statement_reply_fields fields = *std::exchange(session.answer, std::nullopt);
+    fields.state = visible_states_[static_cast<std::size_t>(session.state)];
+    const session_number number = session.number;
+    session.current.reset();
+    session.last_used = now;
+    const bool closing = session.close_when_idle && idle(session) && session.waiting.empty();
+    fields.close_after = closing;
+    hooks_.reply(statement_reply{std::move(fields)});
+    if (closing) {
+        hooks_.log("session_closed", "session=" + std::to_string(number) + " reason=shutdown");
+        sessions_.erase(number);
+        return;
+    }
+    process_next(number, now);
+}
+
+void session_table::process_next(session_number number, instant now)
+{
+    const auto found = sessions_.find(number);
+    if (found == sessions_.end() || found->second.current || found->second.waiting.empty()) {
+        return;
+    }
+    const caller_statement next = found->second.waiting.front();
+    found->second.waiting.pop_front();
+    process(found->second, next, now);
+}
+
+} // namespace citronfall
