--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -10,7 +10,7 @@
 
 /// Length of a watch without events; the store allows 30 s. The connection's keep-alive notices a silent path much
 /// sooner.
-constexpr duration watch_wait = std::chrono::seconds(25);
+constexpr duration watch_wait = std::chrono::seconds(29);
 
 /// Least time between two calls for changes. A configuration is due on all daemons within seconds; the entries of
 /// members and daemons change several at a time when instances start.
