Let replicas receive again until they confirm it, also after the daemon that paused them ended

Cause (found by reading): where commits wait for replicas, a change of primary pauses them; at its end each was told to go on once, and not at all if no connection to it was idle, and nobody told them if the daemon ended in between. The holder of the duty now repeats it until the member answers, and a new holder tells all. The new test fails without the change.

--- a/src/takeover/primary_change.cc
+++ b/src/takeover/primary_change.cc
@@ -181,11 +181,57 @@
         }
         return;
     }
+    resume_replicas(now);
     if (const auto reason = suspicion(now)) {
         fire(*reason, now);
     }
 }
 
+/// Lets replicas that a change paused receive again, until they confirm it. A new holder of the duty does so for all:
+/// the one before may have ended between pausing and resuming.
+void primary_change::resume_replicas(instant now)
+{
+    const auto fence = options_.fence(now);
+    if (!fence || !options_.state().lead.leader()) {
+        return; // Another daemon's change may rely on the pause.
+    }
+    if (options_.sync_replicas() > 0 && *fence != resumed_with_) {
+        resumed_with_ = *fence;
+        for (const std::string& id : pool_.members_of(options_.service)) {
+            paused_.insert(id);
+        }
+    }
+    const std::string& leader = *options_.state().lead.leader();
+    std::erase_if(paused_, [&](const std::string& id) { return id == leader || pool_.member(id) == nullptr; });
+    for (const std::string& member : paused_) {
+        const connection_number connection = resuming_.contains(member) ? 0 : pool_.acquire(member, {}, now);
+        if (connection != 0) {
+            resuming_.insert(member);
+            pool_.send_own(
+                connection, {resume_receiving{}},
+                [this, member, connection](const exchange_outcome& outcome, instant at) {
+                    on_resumed(member, connection, outcome, at);
+                },
+                now);
+        }
+    }
+}
+
+void primary_change::on_resumed(const std::string& member, connection_number connection,
+                                const exchange_outcome& outcome, instant now)
+{
+    resuming_.erase(member);
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (reply == nullptr) {
+        return; // The connection is lost; the next tick tries another one.
+    }
+    pool_.release(connection, now);
+    const bool busy = (*reply)->failure && (*(*reply)->failure)->kind == error_kind::overloaded;
+    if (!busy) {
+        paused_.erase(member);
+    }
+}
+
 /// Why the primary should be replaced, if it should.
 std::optional<primary_change::event> primary_change::suspicion(instant now)
 {
@@ -252,14 +298,6 @@
                                             " took_ms=" + std::to_string((now - started_at_).count() / 1000) +
                                             " fence=" + std::to_string(ordered_fence_));
     }
-    for (const std::string& member : std::exchange(paused_, {})) {
-        const connection_number connection = pool_.acquire(member, {}, now);
-        if (connection != 0) {
-            pool_.send_own(
-                connection, {resume_receiving{}},
-                [this, connection](const exchange_outcome&, instant at) { pool_.release(connection, at); }, now);
-        }
-    }
     successor_.clear();
     leaving_.clear();
     final_position_.reset();
--- a/src/takeover/primary_change.h
+++ b/src/takeover/primary_change.h
@@ -116,6 +116,9 @@
     [[nodiscard]] std::size_t answers_needed() const;
     [[nodiscard]] std::optional<std::string> furthest() const;
     [[nodiscard]] std::optional<std::string> least_behind() const;
+    void resume_replicas(instant now);
+    void on_resumed(const std::string& member, connection_number connection, const exchange_outcome& outcome,
+                    instant now);
     void order_promotion(instant now);
     void step_leader_down(instant now);
     void on_stepped_down(connection_number connection, const exchange_outcome& outcome, instant now);
@@ -136,7 +139,9 @@
     std::size_t reaching_it_ = 0;
     std::map<std::string, log_position> positions_; ///< Received logs by member.
     std::size_t positions_asked_ = 0;
-    std::set<std::string> paused_;               ///< Members that do not receive because of this change.
+    std::set<std::string> paused_;               ///< Members that perhaps do not receive because of a change.
+    std::set<std::string> resuming_;             ///< Of these, those that were told to receive and did not answer yet.
+    std::uint64_t resumed_with_ = 0;             ///< Fence with which all members were told to receive.
     std::string leaving_;                        ///< Member that stepped down.
     std::optional<log_position> final_position_; ///< Of the member that stepped down.
     std::string successor_;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -267,6 +267,21 @@
     }
 }
 
+TEST_CASE("replicas that a daemon paused before it ended receive again", "[gateway]")
+{
+    // Guards against replicas that stay behind for good: the daemon that paused them for a change of primary ended
+    // before it let them go on.
+    gateway_world world({.daemons = 3, .sync_replicas = 1});
+    world.pause_member("m1");
+    world.pause_member("m2");
+    REQUIRE(world.paused("m1"));
+    world.terminate(0);
+    world.terminate(1);
+    world.run(8s);
+    CHECK_FALSE(world.paused("m1"));
+    CHECK_FALSE(world.paused("m2"));
+}
+
 TEST_CASE("a lone daemon that keeps missing the leader replaces it within the bound", "[gateway]")
 {
     // Guards against a service without a leader for as long as most daemons are gone.
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -59,13 +59,14 @@
     return (static_cast<standin::member_session>(daemon) << 32U) | connection;
 }
 
-/// The fakes' configuration is a version and a list of databases.
+/// The fakes' configuration is a version, two figures of the service and a list of databases.
 result<deployment> read_fake_deployment(std::string_view value)
 {
     std::istringstream words{std::string(value)};
     deployment_fields fields;
     std::uint32_t connections = 0;
-    words >> fields.version >> connections;
+    std::uint32_t sync_replicas = 0;
+    words >> fields.version >> connections >> sync_replicas;
     std::string database;
     while (words >> database) {
         auto consistency = read_consistency::read_your_writes;
@@ -83,7 +84,8 @@
                                          .max_staleness = 1500ms,
                                          .priority = 1}};
     }
-    fields.services[service] = service_policy{{.name = service, .max_connections = connections}};
+    fields.services[service] =
+        service_policy{{.name = service, .max_connections = connections, .sync_replicas = sync_replicas}};
     fields.idle_transaction_limit = 3s;
     return deployment{std::move(fields)};
 }
@@ -154,7 +156,7 @@
                       const bool accepted = !members_.at(order->member).dark && service_.promote(order->member, now);
                       return accepted ? call_outcome::done : call_outcome::conflict;
                   }}),
-      max_connections_(chosen.max_connections), random_state_(chosen.seed)
+      max_connections_(chosen.max_connections), sync_replicas_(chosen.sync_replicas), random_state_(chosen.seed)
 {
     for (const std::string& id : member_ids(chosen.members)) {
         members_[id] = {};
@@ -329,7 +331,8 @@
 
 void gateway_world::write_configuration(std::uint64_t version, const std::set<std::string>& databases)
 {
-    std::string value = std::to_string(version) + " " + std::to_string(max_connections_);
+    std::string value =
+        std::to_string(version) + " " + std::to_string(max_connections_) + " " + std::to_string(sync_replicas_);
     for (const std::string& each : databases) {
         value += " " + each;
     }
@@ -341,6 +344,14 @@
     deliver(daemon, control_event::terminate);
 }
 
+void gateway_world::pause_member(const std::string& id)
+{
+    constexpr standin::member_session nobody = 0;
+    static_cast<void>(service_.open(id, nobody));
+    static_cast<void>(service_.answer(id, nobody, member_query{{.body = pause_receiving{.term = 99}}}, now()));
+    service_.close(id, nobody);
+}
+
 void gateway_world::cut_member(std::size_t daemon, const std::string& id, bool cut)
 {
     if (cut) {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -26,6 +26,7 @@
         std::size_t members = 3;
         duration replica_lag = std::chrono::milliseconds(10);
         std::uint32_t max_connections = 20;
+        std::uint32_t sync_replicas = 0; ///< Stated by the configuration; the fakes do not wait for replicas.
         std::uint64_t seed = 1;
     };
 
@@ -74,6 +75,7 @@
     void refuse_store(std::size_t daemon, bool refused); ///< The store turns this daemon away.
     void write_configuration(std::uint64_t version, const std::set<std::string>& databases);
     void terminate(std::size_t daemon);
+    void pause_member(const std::string& id); ///< As a daemon does that ends in the middle of a change.
     void cut_member(std::size_t daemon, const std::string& id, bool cut); ///< Nothing passes between the two.
     void cut_peers(std::size_t daemon, bool cut);                         ///< Nothing passes to or from other daemons.
 
@@ -81,6 +83,7 @@
     [[nodiscard]] std::string leader() const;
     [[nodiscard]] log_position committed() const { return service_.committed(); }
     [[nodiscard]] const std::vector<std::string>& promotions() const { return service_.promotions(); }
+    [[nodiscard]] bool paused(const std::string& id) const { return service_.paused(id); }
     [[nodiscard]] bool ready(std::size_t daemon) const;
     [[nodiscard]] bool stopped(std::size_t daemon) const;
     [[nodiscard]] std::size_t connections_in_use(const std::string& id) const; ///< Open transactions on the member.
@@ -115,6 +118,7 @@
     standin::service_model service_;
     standin::store_model store_;
     std::uint32_t max_connections_;
+    std::uint32_t sync_replicas_;
     session_number last_session_ = 0;
     std::uint64_t last_request_ = 0;
     std::uint64_t random_state_;
--- a/tools/standin/service_model.h
+++ b/tools/standin/service_model.h
@@ -84,6 +84,7 @@
     [[nodiscard]] const std::string& name() const { return options_.name; }
     [[nodiscard]] bool up(const std::string& member) const { return members_.at(member).up; }
     [[nodiscard]] std::optional<std::string> leader() const; ///< That is up.
+    [[nodiscard]] bool paused(const std::string& member) const { return members_.at(member).paused_at.has_value(); }
     [[nodiscard]] bool leads(const std::string& member) const { return members_.at(member).leads; }
     [[nodiscard]] std::size_t open_transactions(const std::string& member) const;
     [[nodiscard]] log_position committed() const { return position_; }
