--- a/tools/soak/fault_plan.h
+++ b/tools/soak/fault_plan.h
@@ -20,7 +20,7 @@
     store_link,     ///< Link of one daemon to the store.
     member_link,    ///< Link of all daemons to one member.
     crash_member,
-    drain_member, ///< The member announces its end, ends and is started again.
+    drain_member, ///< The member announces its end and takes that back.
     replica_lag,
     configure, ///< The operators change the configuration.
 };
--- a/tools/soak/fault_proxy.cc
+++ b/tools/soak/fault_proxy.cc
@@ -140,23 +140,6 @@
 
 } // namespace
 
-const char* link_fault_name(link_fault fault)
-{
-    switch (fault) {
-    case link_fault::none:
-        return "none";
-    case link_fault::delayed:
-        return "delayed";
-    case link_fault::silent:
-        return "silent";
-    case link_fault::no_answer:
-        return "no_answer";
-    case link_fault::resetting:
-        break;
-    }
-    return "resetting";
-}
-
 class fault_proxy::parts : public std::enable_shared_from_this<fault_proxy::parts> {
 public:
     parts(asio::io_context& loop, fault_proxy_options options, tcp::endpoint target)
--- a/tools/soak/fault_proxy.h
+++ b/tools/soak/fault_proxy.h
@@ -21,9 +21,6 @@
     resetting, ///< Connections are reset, present and new ones.
 };
 
-/// Name for reports. Thread-safe.
-[[nodiscard]] const char* link_fault_name(link_fault fault);
-
 /// Settings of a proxy.
 struct fault_proxy_options {
     std::string listen;                              ///< "ip:port"
