--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -27,6 +27,16 @@
         return due;
     }
 
+    /// Removes the earliest timers for which `is_void` holds, so that next() does not name a time at which nothing is
+    /// left to do.
+    template <class Predicate>
+    void drop_void(const Predicate& is_void)
+    {
+        while (!timers_.empty() && is_void(timers_.begin()->second)) {
+            timers_.erase(timers_.begin());
+        }
+    }
+
     /// Due time of the earliest timer, if there is one.
     [[nodiscard]] std::optional<instant> next() const
     {
--- a/src/directory/service_directory.cc
+++ b/src/directory/service_directory.cc
@@ -2,6 +2,7 @@
 
 #include "registration/fencing_token.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronfall {
@@ -44,6 +45,10 @@
                      " before=" + std::to_string(configuration_ ? (*configuration_)->version : 0) +
                      " routes=" + std::to_string(newer->routes.size()) + " revision=" + std::to_string(item->revision));
     configuration_ = newer;
+    used_services_.clear();
+    for (const auto& [database, each] : newer->routes) {
+        used_services_.insert(each->service);
+    }
 }
 
 void service_directory::apply_member(const std::string& id, const store_item& item, store_era era,
@@ -159,6 +164,16 @@
     return changed;
 }
 
+std::optional<instant> service_directory::next_expiry() const
+{
+    std::optional<instant> due;
+    for (const auto& [id, departure] : departing_) {
+        const instant next = members_.at(id)->draining ? departure.remove_at : departure.drain_at;
+        due = due ? std::min(*due, next) : next;
+    }
+    return due;
+}
+
 const route* service_directory::find_route(const std::string& database) const
 {
     if (!configuration_) {
--- a/src/directory/service_directory.h
+++ b/src/directory/service_directory.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -58,9 +59,15 @@
     /// Drains and removes deleted members that are due. Returns whether any member changed.
     bool expire(instant now);
 
+    /// When expire() has to be called next; nothing if no deleted member is left.
+    [[nodiscard]] std::optional<instant> next_expiry() const;
+
     /// The configuration in force; empty before the first.
     [[nodiscard]] const std::optional<service_configuration>& configuration() const { return configuration_; }
 
+    /// Services with a route in the configuration in force.
+    [[nodiscard]] const std::set<std::string>& used_services() const { return used_services_; }
+
     /// Members by id.
     [[nodiscard]] const std::map<std::string, member_registration>& members() const { return members_; }
 
@@ -92,6 +99,7 @@
 
     service_directory_options options_;
     std::optional<service_configuration> configuration_;
+    std::set<std::string> used_services_;
     std::map<std::string, member_registration> members_;
     std::map<std::string, member_departure> departing_; ///< Deleted members that are still listed.
     std::map<std::string, reported_drain> drains_;      ///< By member.
--- a/src/dispatch/statement_dispatcher.cc
+++ b/src/dispatch/statement_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include "chart/embedded_program.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -12,6 +13,10 @@
 /// refuse one statement several times in a row are overloaded.
 constexpr unsigned max_attempts = 5;
 
+/// Interval of checks whether waiting statements can be placed or are no longer worth waiting. Bounds the delay of a
+/// statement that waits before its next attempt.
+constexpr duration waiting_check_interval = std::chrono::milliseconds(25);
+
 } // namespace
 
 result<std::unique_ptr<statement_dispatcher>> statement_dispatcher::make(dispatcher_hooks hooks, member_pool& pool,
@@ -124,6 +129,7 @@
     for (const task_number number : std::exchange(finished_, {})) {
         tasks_.erase(number);
     }
+    deadlines_.drop_void([this](task_number number) { return !tasks_.contains(number); });
 }
 
 task_number statement_dispatcher::submit(const task_request& request, instant now)
@@ -208,8 +214,21 @@
     }
 }
 
+std::optional<instant> statement_dispatcher::next() const
+{
+    const auto deadline = deadlines_.next();
+    const bool any_waiting =
+        std::any_of(queues_.begin(), queues_.end(), [](const auto& each) { return !each.second.empty(); });
+    if (!any_waiting) {
+        return deadline;
+    }
+    const instant check = last_tick_ + waiting_check_interval;
+    return deadline ? std::min(*deadline, check) : check;
+}
+
 void statement_dispatcher::tick(instant now)
 {
+    last_tick_ = now;
     drop_finished();
     while (const auto due = deadlines_.pop_due(now)) {
         expire(*due, now);
@@ -224,6 +243,7 @@
 
 void statement_dispatcher::report(instant now)
 {
+    drop_finished();
     while (!outcomes_.empty()) {
         const auto [request, outcome] = std::move(outcomes_.front());
         outcomes_.pop_front();
--- a/src/dispatch/statement_dispatcher.h
+++ b/src/dispatch/statement_dispatcher.h
@@ -59,8 +59,8 @@
     /// longer.
     void place_waiting(const std::string& service, instant now);
 
-    /// Ends statements that are past their deadline and tries to place the waiting ones of all services. Must be called
-    /// every few tens of milliseconds.
+    /// Ends statements that are past their deadline and tries to place the waiting ones of all services. Call it when
+    /// next() is reached.
     void tick(instant now);
 
     /// Ends a statement as if its deadline had passed.
@@ -70,8 +70,8 @@
     /// statements.
     void report(instant now);
 
-    /// Time of the next statement deadline.
-    [[nodiscard]] std::optional<instant> next() const { return deadlines_.next(); }
+    /// When tick() has to be called next; nothing if no statement is in progress.
+    [[nodiscard]] std::optional<instant> next() const;
 
     /// Statements in progress, waiting ones included.
     [[nodiscard]] std::size_t size() const { return tasks_.size(); }
@@ -152,6 +152,7 @@
     std::map<task_number, statement_task> tasks_;
     std::map<std::string, std::set<queue_key>> queues_; ///< Waiting tasks by service.
     timer_queue<task_number> deadlines_;
+    instant last_tick_{};
     std::vector<task_number> finished_;                          ///< Erased by the next public call.
     std::deque<std::pair<task_request, task_outcome>> outcomes_; ///< Not yet passed to `finished`.
     task_number last_task_ = 0;
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -8,11 +8,15 @@
 namespace citronfall {
 namespace {
 
-/// Longest time between two ticks, which bounds the delay of expirations, probes and retries.
-constexpr duration tick_interval = std::chrono::milliseconds(25);
+/// Longest time between two ticks. It bounds the time until a stall of the process and an overdue answer are noticed;
+/// other work has its own due time.
+constexpr duration max_tick_interval = std::chrono::milliseconds(100);
+
+/// Interval of ticks while the daemon drains, which bounds the delay of the close of a session.
+constexpr duration drain_tick_interval = std::chrono::milliseconds(25);
 
 /// A longer gap between two ticks means that the process was suspended or starved of CPU.
-constexpr duration stall_limit = std::chrono::milliseconds(200);
+constexpr duration stall_limit = std::chrono::milliseconds(250);
 
 /// Interval between two snapshots of the metrics.
 constexpr duration metrics_interval = std::chrono::seconds(1);
@@ -41,7 +45,10 @@
 
 } // namespace
 
-gateway_engine::gateway_engine(gateway_engine_options options) : options_(std::move(options)) {}
+gateway_engine::gateway_engine(gateway_engine_options options)
+    : options_(std::move(options)), relay_directory_(options_.settings->name)
+{
+}
 
 result<std::unique_ptr<gateway_engine>> gateway_engine::make(gateway_engine_options options)
 {
@@ -68,6 +75,7 @@
         pool_->note_process_stall(now);
     }
     last_tick_ = now;
+    const bool wanted = std::exchange(tick_wanted_, false);
     while (const auto due = timers_.pop_due(now)) {
         (*due)(now);
     }
@@ -78,18 +86,22 @@
     registrar_->tick(now);
     directory_changed_ = directory_->expire(now) || directory_changed_;
     pool_->tick(now);
-    tick_services(now);
+    if (wanted || now >= next_services_tick_ || (monitor_->next() && now >= *monitor_->next())) {
+        tick_services(now);
+    }
     statement_relay_->tick(now);
     dispatcher_->tick(now);
     sessions_->tick(directory_->configuration() ? (*directory_->configuration())->idle_transaction_limit : duration{},
                     now);
-    lifecycle_->set_can_serve(directory_->configuration() && (pool_->open_connections() > 0 || relays_somewhere()),
-                              now);
+    lifecycle_->set_can_serve(
+        directory_->configuration() && (pool_->open_connections() > 0 || relay_directory_.relays_somewhere()), now);
     lifecycle_->tick(now);
     if (now >= next_connections_log_) {
         next_connections_log_ = now + connections_log_interval;
         for (const auto& [id, member] : pool_->members()) {
-            log(log_priority::notable, "member_connections", pool_->describe(member));
+            if (!member.all.empty()) {
+                log(log_priority::notable, "member_connections", pool_->describe(member));
+            }
         }
     }
     if (now >= next_metrics_) {
@@ -101,11 +113,19 @@
 
 instant gateway_engine::next(instant now) const
 {
-    instant due = std::max(last_tick_ + tick_interval, now);
-    for (const auto& each : {timers_.next(), dispatcher_->next()}) {
+    if (tick_wanted_) {
+        return now;
+    }
+    instant due = last_tick_ + (lifecycle_->draining() ? drain_tick_interval : max_tick_interval);
+    due = std::min({due, gossip_->next(), next_metrics_, next_services_tick_});
+    for (const auto& each : {timers_.next(), dispatcher_->next(), statement_relay_->next(), registrar_->next(),
+                             monitor_->next(), pool_->next(), directory_->next_expiry()}) {
         due = each ? std::min(due, *each) : due;
     }
-    return due;
+    for (const auto& each : mirrors_) {
+        due = std::min(due, each->next().value_or(due));
+    }
+    return std::max(due, now);
 }
 
 /// Reports finished statements and applies changes to the directory after an event or a tick.
@@ -126,6 +146,7 @@
 void gateway_engine::on_event(const member_event& event, instant now)
 {
     pool_->handle(event, now);
+    tick_wanted_ = tick_wanted_ || !ready_; // The first connection lets the daemon report ready.
 }
 
 void gateway_engine::on_event(const store_answer& answer, instant now)
@@ -151,10 +172,11 @@
 
 void gateway_engine::on_event(const peer_event& event, instant now)
 {
+    tick_wanted_ = tick_wanted_ || event->kind != peer_event_kind::received; // The direct services may change.
     switch (event->kind) {
     case peer_event_kind::connected:
         log(log_priority::notable, "peer_connected", "peer=" + event->from);
-        peers_.insert(event->from);
+        relay_directory_.connected(event->from);
         gossip_->connected(event->from);
         if (leaving_) {
             options_.send_peer_command(outgoing_peer_message{{.to = event->from, .message = leave_notice{}}});
@@ -163,8 +185,7 @@
     case peer_event_kind::disconnected:
         log(log_priority::notable, "peer_lost",
             "peer=" + event->from + " reason=" + peer_close_reason_name(event->reason));
-        peers_.erase(event->from);
-        leaving_peers_.erase(event->from);
+        relay_directory_.disconnected(event->from);
         gossip_->disconnected(event->from);
         statement_relay_->disconnected(event->from, now);
         return;
@@ -288,31 +309,26 @@
 void gateway_engine::reconfigure(instant now)
 {
     const auto& configuration = directory_->configuration();
-    used_services_.clear();
-    if (configuration) {
-        for (const auto& [database, each] : (*configuration)->routes) {
-            used_services_.insert(each->service);
-        }
-    }
+    const std::set<std::string>& used_services = directory_->used_services();
     assign_daemons();
     std::map<std::string, connection_share> shares;
-    for (const std::string& service : used_services_) {
+    for (const std::string& service : used_services) {
         const auto& services = (*configuration)->services;
         const auto found = services.find(service);
         shares[service] = {.limit = found == services.end() ? 0 : found->second->max_connections,
-                           .holders = assigned_daemons_[service].size(),
-                           .is_holder = is_assigned(service)};
+                           .holders = relay_directory_.assigned(service).size(),
+                           .is_holder = relay_directory_.is_assigned(service)};
     }
     std::map<std::string, member_registration> members;
     for (const auto& [id, entry] : directory_->members()) {
-        if (used_services_.contains(entry->service)) {
+        if (used_services.contains(entry->service)) {
             members.emplace(id, entry);
         }
     }
     pool_->configure(members, shares, now);
     add_primary_changes(now);
     peer_candidates_fields candidates;
-    const std::set<std::string> pinned = pinned_peers();
+    const std::set<std::string>& pinned = relay_directory_.pinned();
     for (const auto& [name, entry] : directory_->daemons()) {
         if (name != options_.settings->name && !entry->peer_address.empty()) {
             candidates.addresses.push_back(entry->peer_address);
@@ -322,13 +338,15 @@
         }
     }
     options_.send_peer_command(peer_candidates{std::move(candidates)});
+    registrar_->directory_changed(now);
     pool_->tick(now);
+    tick_wanted_ = true;
 }
 
 void gateway_engine::add_primary_changes(instant now)
 {
     static_cast<void>(now);
-    for (const std::string& service : used_services_) {
+    for (const std::string& service : directory_->used_services()) {
         if (primary_changes_.contains(service)) {
             continue;
         }
@@ -370,6 +388,7 @@
                                      instant now)
 {
     static_cast<void>(now);
+    tick_wanted_ = true; // The search for the next leader and the change of primary start at once.
     metrics_.count("leaders_lost_total");
     log(log_priority::notable, "leader_lost",
         "service=" + service + " member=" + member + " reason=" + reason +
@@ -399,14 +418,16 @@
 void gateway_engine::tick_services(instant now)
 {
     const std::set<std::string> before = std::exchange(direct_services_, {});
-    for (const std::string& service : used_services_) {
-        if (is_assigned(service) || is_relayed_here(service, now) || connected_assigned_daemons(service).empty()) {
+    for (const std::string& service : directory_->used_services()) {
+        const bool cannot_relay = relay_directory_.connected_to(service).empty();
+        if (relay_directory_.is_assigned(service) || is_relayed_here(service, now) || cannot_relay) {
             direct_services_.insert(service);
             if (!before.contains(service)) {
                 services_[service].leader_searched_since = now;
             }
         }
     }
+    next_services_tick_ = now + max_tick_interval;
     monitor_->tick(direct_services_, now);
     for (const auto& [service, change] : primary_changes_) {
         if (direct_services_.contains(service)) {
@@ -419,12 +440,12 @@
                                          instant now)
 {
     const std::uint64_t number = ++last_suspicion_poll_;
-    const auto asked = connected_assigned_daemons(service);
+    const std::vector<std::string>& asked = relay_directory_.connected_to(service);
     const suspicion_query query{{.number = number, .group = service, .member = member, .term = term}};
     for (const std::string& peer : asked) {
         options_.send_peer_command(outgoing_peer_message{{.to = peer, .message = query}});
     }
-    const auto& assigned = assigned_daemons_[service];
+    const std::vector<std::string>& assigned = relay_directory_.assigned(service);
     const auto others = assigned.size() -
                         static_cast<std::size_t>(std::count(assigned.begin(), assigned.end(), options_.settings->name));
     return {.number = number, .asked = asked.size(), .known = others + expired_daemons_.count(service, now)};
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -21,6 +21,7 @@
 #include "primary_change/primary_change.h"
 #include "registration/daemon_registrar.h"
 #include "relay/expired_daemons.h"
+#include "relay/relay_directory.h"
 #include "relay/statement_relay.h"
 
 #include <functional>
@@ -65,7 +66,7 @@
     /// Handles an event from another thread.
     void handle(const gateway_event& event, instant now);
 
-    /// Performs work that is due. Call it when next() is reached, and at least every 50 ms.
+    /// Performs work that is due. Call it when next() is reached.
     void tick(instant now);
 
     /// State of the daemon, for operators.
@@ -99,14 +100,10 @@
     task_number submit(const task_request& request, instant now);
     void release(connection_number connection, instant now);
     void report_session_end(const session_end& end);
-    [[nodiscard]] bool is_assigned(const std::string& service) const;
     [[nodiscard]] bool is_relayed_here(const std::string& service, instant now) const;
     void note_relayed_here(const std::string& service, instant now);
     [[nodiscard]] std::string relay_target(const std::string& service) const;
-    [[nodiscard]] std::vector<std::string> connected_assigned_daemons(const std::string& service) const;
-    [[nodiscard]] std::set<std::string> pinned_peers() const;
     void assign_daemons();
-    [[nodiscard]] bool relays_somewhere() const;
     void announce_leave();
     void note_peer_leaves(const std::string& peer);
     call_number call_store(call_body body, duration timeout);
@@ -131,6 +128,8 @@
     gateway_engine_options options_;
     instant now_{}; ///< Time of the event that is being handled.
     instant last_tick_{};
+    bool tick_wanted_ = false; ///< An event has made work due at once.
+    instant next_services_tick_{};
     instant next_metrics_{};
     instant next_connections_log_{};
     timer_queue<std::function<void(instant)>> timers_;
@@ -145,16 +144,12 @@
     std::unique_ptr<statement_relay> statement_relay_;
     std::unique_ptr<gateway_lifecycle> lifecycle_;
     std::map<std::string, service_state> services_;
-    std::set<std::string> used_services_;   ///< Services with a route in the current configuration.
     std::set<std::string> direct_services_; ///< Used services whose members this daemon connects to itself.
-    /// Daemons that connect to a service's members, by service; most preferred first.
-    std::map<std::string, std::vector<std::string>> assigned_daemons_;
+    relay_directory relay_directory_;
     std::map<std::string, instant> relayed_here_at_; ///< When a peer last relayed a statement here, by service.
     expired_daemons expired_daemons_;
     std::map<std::string, std::unique_ptr<primary_change>> primary_changes_;
-    std::set<std::string> peers_;
-    std::set<std::string> leaving_peers_; ///< Connected peers that have announced their shutdown.
-    bool leaving_ = false;                ///< This daemon has announced its own.
+    bool leaving_ = false; ///< This daemon has announced its shutdown to its peers.
     metrics_registry metrics_;
     call_number last_call_ = 0;
     std::uint64_t last_suspicion_poll_ = 0;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -154,19 +154,19 @@
         .random = options_.random,
         .log = log_notable});
     const gateway_settings& settings = options_.settings;
-    auto registrar =
-        daemon_registrar::make({.self = daemon_registration{{.name = settings->name,
-                                                             .peer_address = settings->peer_listen,
-                                                             .data_center = settings->data_center,
-                                                             .incarnation = options_.incarnation}},
-                                .keys = options_.service_directory.keys,
-                                .may_claim = [this](const std::string& service) { return is_assigned(service); },
-                                .fences_enforced = settings->fences_enforced,
-                                .call = call,
-                                .encode_daemon = options_.encode_daemon,
-                                .encode_failover_lock = options_.encode_failover_lock,
-                                .log = log_notable},
-                               *directory_);
+    auto registrar = daemon_registrar::make(
+        {.self = daemon_registration{{.name = settings->name,
+                                      .peer_address = settings->peer_listen,
+                                      .data_center = settings->data_center,
+                                      .incarnation = options_.incarnation}},
+         .keys = options_.service_directory.keys,
+         .claim_order = [this](const std::string& service) { return relay_directory_.own_position(service); },
+         .fences_enforced = settings->fences_enforced,
+         .call = call,
+         .encode_daemon = options_.encode_daemon,
+         .encode_failover_lock = options_.encode_failover_lock,
+         .log = log_notable},
+        *directory_);
     if (!ok(registrar)) {
         return error_of(registrar);
     }
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -1,5 +1,4 @@
 #include "gateway/gateway_engine.h"
-#include "relay/assigned_daemons.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,14 +6,6 @@
 namespace citronfall {
 namespace {
 
-/// Number of a service's assigned daemons to which a daemon that relays its statements stays connected: if one is lost,
-/// the other takes over.
-constexpr std::size_t relay_targets_used = 2;
-
-/// Number of a service's other assigned daemons to which an assigned daemon stays connected, to ask them before it
-/// replaces a primary.
-constexpr std::size_t max_connected_assigned = 6;
-
 /// How long a daemon keeps looking for the primary of a service after a peer relayed a statement of it. Longer than
 /// daemons may differ on the assignment: with 74 daemons a change of registrations takes up to 4 s to reach all.
 constexpr duration relayed_service_retention = std::chrono::seconds(10);
@@ -33,7 +24,7 @@
         .target =
             [this](const std::string& service) {
                 const std::string target = relay_target(service);
-                return leaving_peers_.contains(target) ? std::string{} : target;
+                return relay_directory_.is_leaving(target) ? std::string{} : target;
             },
         .cancel = [this](task_number task, instant now) { dispatcher_->cancel(task, now); },
         .release = [this](connection_number connection, instant now) { pool_->release(connection, now); },
@@ -48,30 +39,25 @@
     statement_relay_ = std::make_unique<statement_relay>(std::move(hooks), options_.incarnation);
 }
 
+/// Assigns daemons to the services in use, and remembers those whose leases have expired.
 void gateway_engine::assign_daemons()
 {
-    std::set<std::string> listed{options_.settings->name};
+    std::set<std::string> others;
     for (const auto& [name, entry] : directory_->daemons()) {
-        listed.insert(name);
-    }
-    for (const auto& [service, assigned] : assigned_daemons_) {
-        expired_daemons_.update(service, assigned, listed, now_);
+        if (name != options_.settings->name) {
+            others.insert(name);
+        }
     }
-    assigned_daemons_.clear();
-    const std::vector<std::string> daemons(listed.begin(), listed.end());
-    for (const std::string& service : used_services_) {
+    std::set<std::string> listed = others;
+    listed.insert(options_.settings->name);
+    std::map<std::string, std::uint32_t> limits;
+    for (const std::string& service : directory_->used_services()) {
+        expired_daemons_.update(service, relay_directory_.assigned(service), listed, now_);
         const auto& services = (*directory_->configuration())->services;
         const auto found = services.find(service);
-        assigned_daemons_[service] =
-            assigned_daemons(service, daemons, found == services.end() ? 0 : found->second->max_connections);
+        limits[service] = found == services.end() ? 0 : found->second->max_connections;
     }
-}
-
-bool gateway_engine::is_assigned(const std::string& service) const
-{
-    const auto found = assigned_daemons_.find(service);
-    return found == assigned_daemons_.end() ||
-           std::find(found->second.begin(), found->second.end(), options_.settings->name) != found->second.end();
+    relay_directory_.configure(limits, others);
 }
 
 bool gateway_engine::is_relayed_here(const std::string& service, instant now) const
@@ -84,54 +70,21 @@
 void gateway_engine::note_relayed_here(const std::string& service, instant now)
 {
     relayed_here_at_[service] = now;
-    if (!direct_services_.contains(service)) {
+    if (!direct_services_.contains(service) && directory_->used_services().contains(service)) {
         tick_services(now);
     }
 }
 
-std::vector<std::string> gateway_engine::connected_assigned_daemons(const std::string& service) const
-{
-    std::vector<std::string> connected;
-    if (const auto found = assigned_daemons_.find(service); found != assigned_daemons_.end()) {
-        for (const std::string& each : preferred_relay_targets(options_.settings->name, found->second)) {
-            if (peers_.contains(each)) {
-                connected.push_back(each);
-            }
-        }
-    }
-    return connected;
-}
-
-/// Of the two most preferred connected daemons that are assigned to the service, the one with fewer pending answers;
-/// empty if none is connected. Daemons that shut down are used only if there are no others.
+/// Of the daemons to which a statement of the service can be relayed, the one with the fewest pending answers; empty if
+/// there is none.
 std::string gateway_engine::relay_target(const std::string& service) const
 {
-    auto connected = connected_assigned_daemons(service);
-    const auto leaving = std::stable_partition(connected.begin(), connected.end(),
-                                               [this](const auto& each) { return !leaving_peers_.contains(each); });
-    if (leaving != connected.begin()) {
-        connected.erase(leaving, connected.end());
-    }
-    const auto end = connected.begin() + static_cast<std::ptrdiff_t>(std::min(connected.size(), relay_targets_used));
-    const auto best = std::min_element(connected.begin(), end, [this](const std::string& a, const std::string& b) {
-        return statement_relay_->pending_answers(a) < statement_relay_->pending_answers(b);
-    });
-    return best == end ? std::string{} : *best;
-}
-
-std::set<std::string> gateway_engine::pinned_peers() const
-{
-    std::set<std::string> wanted;
-    for (const auto& [service, assigned] : assigned_daemons_) {
-        const std::size_t count = is_assigned(service) ? max_connected_assigned : relay_targets_used;
-        auto preferred = preferred_relay_targets(options_.settings->name, assigned);
-        std::erase_if(preferred, [this](const auto& each) { return leaving_peers_.contains(each); });
-        for (std::size_t i = 0; i < std::min(preferred.size(), count); ++i) {
-            wanted.insert(preferred[i]);
-        }
-    }
-    wanted.erase(options_.settings->name);
-    return wanted;
+    const std::vector<std::string>& targets = relay_directory_.targets(service);
+    const auto best =
+        std::min_element(targets.begin(), targets.end(), [this](const std::string& a, const std::string& b) {
+            return statement_relay_->pending_answers(a) < statement_relay_->pending_answers(b);
+        });
+    return best == targets.end() ? std::string{} : *best;
 }
 
 void gateway_engine::announce_leave()
@@ -144,17 +97,10 @@
 void gateway_engine::note_peer_leaves(const std::string& peer)
 {
     log(log_priority::notable, "peer_leaves", "peer=" + peer);
-    leaving_peers_.insert(peer);
+    relay_directory_.leaves(peer);
     directory_changed_ = true;
 }
 
-bool gateway_engine::relays_somewhere() const
-{
-    return std::any_of(assigned_daemons_.begin(), assigned_daemons_.end(), [this](const auto& each) {
-        return !is_assigned(each.first) && !connected_assigned_daemons(each.first).empty();
-    });
-}
-
 /// Runs a statement here, or relays it to a connected daemon that is assigned to its service if this daemon is not.
 /// Statements of a transaction follow the first one.
 task_number gateway_engine::submit(const task_request& request, instant now)
--- a/src/gateway/gateway_engine_report.cc
+++ b/src/gateway/gateway_engine_report.cc
@@ -12,8 +12,8 @@
                                  .sessions = sessions_->size(),
                                  .statements = dispatcher_->size(),
                                  .daemons = directory_->daemons().size(),
-                                 .peers = peers_.size()};
-    for (const std::string& service : used_services_) {
+                                 .peers = relay_directory_.peers().size()};
+    for (const std::string& service : directory_->used_services()) {
         fields.services.push_back(report_service(service, now));
     }
     for (const auto& [id, each] : pool_->members()) {
--- a/src/gateway/gateway_lifecycle.h
+++ b/src/gateway/gateway_lifecycle.h
@@ -43,9 +43,13 @@
     /// Starts the shutdown.
     void terminate(instant now);
 
-    /// Closes the sessions that are due while the daemon drains. Call it every few tens of milliseconds.
+    /// Closes the sessions that are due while the daemon drains. Call it every few tens of milliseconds while it
+    /// drains.
     void tick(instant now);
 
+    /// Whether the shutdown has started.
+    [[nodiscard]] bool draining() const { return drain_started_.has_value(); }
+
     /// Whether new sessions are accepted at `now`. Once the load balancer has had time to notice the drain, a new
     /// session is refused before its first statement, so that its caller connects to another daemon.
     [[nodiscard]] bool accepts(instant now) const;
--- a/src/leader/leader_monitor.cc
+++ b/src/leader/leader_monitor.cc
@@ -28,13 +28,15 @@
 /// Interval of probes to one member while no leader is known.
 constexpr duration search_interval = std::chrono::milliseconds(40);
 
+/// Interval of attempts to probe a member to which no connection is idle.
+constexpr duration retry_interval = std::chrono::milliseconds(20);
+
 } // namespace
 
 void leader_monitor::tick(const std::set<std::string>& services, instant now)
 {
-    for (auto& [member, state] : probes_) {
-        check_probe_timeout(member, state, now);
-    }
+    next_.reset();
+    check_probe_timeouts(now);
     for (const std::string& service : services) {
         const auto leader = hooks_.service(service).leadership.leader();
         if (leader) {
@@ -45,15 +47,23 @@
     }
 }
 
-void leader_monitor::check_probe_timeout(const std::string& member, probe_state& state, instant now)
+void leader_monitor::check_probe_timeouts(instant now)
 {
-    if (state.connection == 0) {
-        return;
-    }
-    const instant since = std::max(state.sent_at, timeouts_start_);
-    if (now - since < probe_timeout) {
-        return;
+    const std::set<std::string> probed = probed_;
+    for (const std::string& member : probed) {
+        probe_state& state = probes_[member];
+        const instant due = std::max(state.sent_at, timeouts_start_) + probe_timeout;
+        if (now >= due) {
+            fail_probe(member, state, now);
+        } else {
+            note_due(due);
+        }
     }
+}
+
+void leader_monitor::fail_probe(const std::string& member, probe_state& state, instant now)
+{
+    probed_.erase(member);
     const connection_number connection = std::exchange(state.connection, 0);
     hooks_.log("probe_unanswered",
                "member=" + member + " sent_ms_ago=" + std::to_string((now - state.sent_at).count() / 1000));
@@ -71,19 +81,22 @@
         return;
     }
     const auto answered_at = member->health.answered_at();
-    const bool idle = !answered_at || now - *answered_at > max_idle_time;
-    const auto oldest = pool_.oldest_exchange_sent_at(leader);
-    const bool overdue = oldest && now - std::max(*oldest, timeouts_start_) > slow_answer_time &&
-                         (!answered_at || now - *answered_at > slow_answer_time);
+    const instant idle_at = answered_at ? *answered_at + max_idle_time : now;
+    instant due = idle_at;
+    if (const auto oldest = pool_.oldest_exchange_sent_at(leader)) {
+        const instant unanswered_since = std::max(*oldest, timeouts_start_);
+        due = std::min(due, std::max(unanswered_since, answered_at.value_or(unanswered_since)) + slow_answer_time);
+    }
     const service_state& state = hooks_.service(service);
     const bool lagging = std::any_of(state.replica_lags.begin(), state.replica_lags.end(),
                                      [](const auto& each) { return each.second.lag() > lagging_threshold; });
     const auto newest_position = state.primary_positions.newest();
-    const bool positions_old =
-        !newest_position || now - *newest_position > (lagging ? lagging_probe_interval : max_idle_time);
-    if (idle || overdue || positions_old) {
+    due = std::min(due, newest_position ? *newest_position + (lagging ? lagging_probe_interval : max_idle_time) : now);
+    if (now >= due) {
         probe(service, leader, now);
+        due = now + retry_interval; // No connection may have been idle.
     }
+    note_due(due);
 }
 
 void leader_monitor::search_leader(const std::string& service, instant now)
@@ -92,6 +105,7 @@
         if (now >= probes_[member].next) {
             probe(service, member, now);
         }
+        note_due(std::max(probes_[member].next, now + retry_interval));
     }
 }
 
@@ -108,6 +122,8 @@
     state.connection = connection;
     state.sent_at = now;
     state.next = now + search_interval;
+    probed_.insert(member);
+    note_due(now + probe_timeout);
     pool_.send_internal(
         connection, {begin_read_write{}},
         [this, service, member](const exchange_outcome& outcome, instant at) {
@@ -121,6 +137,7 @@
 {
     probe_state& state = probes_[member];
     const connection_number connection = std::exchange(state.connection, 0);
+    probed_.erase(member);
     const auto* reply = std::get_if<member_reply>(&outcome);
     if (reply == nullptr) {
         return;
--- a/src/leader/leader_monitor.h
+++ b/src/leader/leader_monitor.h
@@ -4,8 +4,10 @@
 #include "leader/service_state.h"
 #include "pool/member_pool.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -31,10 +33,13 @@
 public:
     leader_monitor(leader_monitor_hooks hooks, member_pool& pool) : hooks_(std::move(hooks)), pool_(pool) {}
 
-    /// Sends due probes and handles those that timed out. Call it every few tens of milliseconds with the services in
-    /// use.
+    /// Sends due probes and handles those that timed out, for the services in use. Call it when next() is reached,
+    /// after the loss of a leader, and at least every 100 ms, because a new statement may become due for a probe.
     void tick(const std::set<std::string>& services, instant now);
 
+    /// When tick() has to be called next, as of its last call; nothing if no service is in use.
+    [[nodiscard]] std::optional<instant> next() const { return next_; }
+
     /// Probes a member immediately, for instance because a peer reports that it leads. Without effect while a probe of
     /// the member is in flight or no connection to it is available.
     void probe(const std::string& service, const std::string& member, instant now);
@@ -59,12 +64,16 @@
 
     void watch_leader(const std::string& service, const std::string& leader, instant now);
     void search_leader(const std::string& service, instant now);
-    void check_probe_timeout(const std::string& member, probe_state& state, instant now);
+    void check_probe_timeouts(instant now);
+    void fail_probe(const std::string& member, probe_state& state, instant now);
+    void note_due(instant due) { next_ = next_ ? std::min(*next_, due) : due; }
     void answered(const std::string& service, const std::string& member, const exchange_outcome& outcome, instant now);
 
     leader_monitor_hooks hooks_;
     member_pool& pool_;
     std::map<std::string, probe_state> probes_; ///< By member.
+    std::set<std::string> probed_;              ///< Members with a probe in flight.
+    std::optional<instant> next_;
     instant timeouts_start_{}; ///< Timeouts count from here at the earliest; set after a stall of the process.
 };
 
--- a/src/mirror/mirror_gossip.h
+++ b/src/mirror/mirror_gossip.h
@@ -28,9 +28,12 @@
 public:
     explicit mirror_gossip(mirror_gossip_options options) : options_(std::move(options)) {}
 
-    /// Sends digests when due. Call it every few tens of milliseconds.
+    /// Sends digests when due. Call it when next() is reached.
     void tick(instant now);
 
+    /// When tick() has to be called next.
+    [[nodiscard]] instant next() const { return next_digest_; }
+
     /// Makes the next digest due immediately, after a change that all daemons should receive soon.
     void announce() { next_digest_ = {}; }
 
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -38,9 +38,15 @@
     /// Error (bad_request): the chart does not match the bindings.
     [[nodiscard]] static result<std::unique_ptr<store_mirror>> make(store_mirror_options options);
 
-    /// Starts a read or a watch when due. Call it every few tens of milliseconds.
+    /// Starts a read or a watch when due. Call it when next() is reached.
     void tick(instant now);
 
+    /// When tick() has to be called next; nothing while a call is in flight.
+    [[nodiscard]] std::optional<instant> next() const
+    {
+        return pending_call_ == 0 ? std::optional(next_attempt_) : std::nullopt;
+    }
+
     /// Handles an answer of the platform. Returns false, without effect, if the call was not made by this object.
     bool handle(const store_answer& answer, instant now);
 
--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -52,10 +52,15 @@
            demand.open < std::max<std::size_t>(share_of(demand.limit * borrow_factor, demand.daemons), 2);
 }
 
+instant surplus_check_time(instant idle_since)
+{
+    return idle_since + borrowed_idle_limit;
+}
+
 bool should_close(const connection_demand& demand, instant idle_since, instant now)
 {
     const std::size_t kept = demand.is_holder ? fair_share(demand.limit, demand.daemons) : 0;
-    return demand.open > kept && now - idle_since > borrowed_idle_limit;
+    return demand.open > kept && now >= surplus_check_time(idle_since);
 }
 
 } // namespace citronfall
--- a/src/pool/connection_budget.h
+++ b/src/pool/connection_budget.h
@@ -27,6 +27,9 @@
 /// unused, until the member refuses one. Thread-safe.
 [[nodiscard]] bool may_open(const connection_demand& demand, instant now);
 
+/// When should_close() has to be asked about a connection that has been idle since `idle_since`. Thread-safe.
+[[nodiscard]] instant surplus_check_time(instant idle_since);
+
 /// Whether to close a connection that has been idle since `idle_since`. Connections beyond the fair share are closed
 /// soon, those within it stay open. Thread-safe.
 [[nodiscard]] bool should_close(const connection_demand& demand, instant idle_since, instant now);
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -13,6 +13,9 @@
 /// slot. Without the timeout a lost answer would occupy the connection for ever, and members accept few connections.
 constexpr duration internal_answer_timeout = std::chrono::milliseconds(800);
 
+/// Interval of attempts to open the first connection to a member while the budget does not allow one.
+constexpr duration connection_check_interval = std::chrono::milliseconds(50);
+
 } // namespace
 result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks, duration draining_grace)
 {
@@ -84,7 +87,9 @@
     for (auto& [id, each] : members_) {
         each.listed = entries.contains(id);
     }
+    listed_.clear();
     for (const auto& [id, entry] : entries) {
+        listed_[entry->service].push_back(id);
         const auto [place, added] = members_.try_emplace(id);
         pooled_member& each = place->second;
         const bool restarted =
@@ -107,43 +112,82 @@
         each.holders = std::max<std::size_t>(share.holders, 1);
         each.is_holder = share.is_holder;
     }
-    erase_unused_members();
+    std::erase_if(members_, [](const auto& each) { return !each.second.listed && each.second.all.empty(); });
+    check_members(now);
 }
 
-void member_pool::erase_unused_members()
+/// Makes all decisions due that the new configuration may have changed.
+void member_pool::check_members(instant now)
 {
-    std::erase_if(members_, [](const auto& each) { return !each.second.listed && each.second.all.empty(); });
+    connection_checks_.clear();
+    for (const auto& [id, each] : members_) {
+        if (needs_connection(each)) {
+            connection_checks_[id] = now;
+        }
+        for (const connection_number number : each.idle) {
+            connections_.at(number).surplus_check_armed = false; // A check that is armed may be too late.
+            arm_surplus_check(connections_.at(number), now);
+        }
+    }
+}
+
+void member_pool::erase_unused_member(const std::string& id)
+{
+    const auto found = members_.find(id);
+    if (found != members_.end() && !found->second.listed && found->second.all.empty()) {
+        members_.erase(found);
+        connection_checks_.erase(id);
+    }
 }
 
 void member_pool::tick(instant now)
 {
     for (const connection_number number : std::exchange(closed_, {})) {
-        connections_.erase(number);
+        const auto closed = connections_.find(number);
+        if (closed == connections_.end()) {
+            continue;
+        }
+        const std::string member = closed->second.member;
+        connections_.erase(closed);
+        erase_unused_member(member);
     }
     close_overdue(now);
-    for (auto& [id, each] : members_) {
-        close_surplus(each, now);
-        keep_one_open(each, now);
+    close_surplus(now);
+    keep_one_open(now);
+}
+
+std::optional<instant> member_pool::next() const
+{
+    std::optional<instant> due;
+    for (const auto& [id, check] : connection_checks_) {
+        due = due ? std::min(*due, check) : check;
     }
-    erase_unused_members();
+    return due;
 }
 
 /// Closes connections on which the answer to a statement of the daemon itself is overdue.
 void member_pool::close_overdue(instant now)
 {
-    std::vector<connection_number> silent;
-    for (const auto& [number, each] : connections_) {
-        const bool own = !each.exchanges.empty() && !each.exchanges.front().counts_as_load;
-        if (own && now - std::max(each.exchanges.front().sent_at, silence_counts_from_) > internal_answer_timeout) {
-            silent.push_back(number);
+    while (const auto number = answer_timeouts_.pop_due(now)) {
+        pooled_connection* each = find(*number);
+        if (each == nullptr) {
+            continue;
         }
-    }
-    for (const connection_number number : silent) {
-        if (const pooled_connection* each = find(number)) {
-            hooks_.log("answer_overdue", "member=" + each->member + " connection=" + std::to_string(number));
-            hooks_.send(close_member_connection{{.connection = number}});
-            on_closed(member_connection_closed{{.connection = number, .end = connection_end_reason::reset}}, now);
+        each->answer_timeout_armed = false;
+        if (each->exchanges.empty()) {
+            continue;
         }
+        const exchange& oldest = each->exchanges.front();
+        const instant due = oldest.counts_as_load
+                                ? now + internal_answer_timeout
+                                : std::max(oldest.sent_at, silence_counts_from_) + internal_answer_timeout;
+        if (now < due) {
+            arm_answer_timeout(*each, due);
+            continue;
+        }
+        hooks_.log("answer_overdue", "member=" + each->member + " connection=" + std::to_string(*number));
+        hooks_.send(close_member_connection{{.connection = *number}});
+        on_closed(member_connection_closed{{.connection = *number, .end = connection_end_reason::reset}}, now);
     }
 }
 
@@ -158,22 +202,51 @@
             .refused_at = target.refused_at};
 }
 
-void member_pool::close_surplus(pooled_member& target, instant now)
+/// Closes connections that have been idle for too long, or whose member is no longer registered.
+void member_pool::close_surplus(instant now)
 {
-    const auto idle = target.idle;
-    for (const connection_number number : idle) {
-        pooled_connection& each = connections_.at(number);
-        if (!target.listed || should_close(demand(target), each.idle_since, now)) {
-            fire(each, event::discard, now);
+    while (const auto number = surplus_checks_.pop_due(now)) {
+        pooled_connection* each = find(*number);
+        if (each == nullptr) {
+            continue;
+        }
+        each->surplus_check_armed = false;
+        const pooled_member& target = members_.at(each->member);
+        if (!target.idle.contains(*number)) {
+            continue; // In use; a check is armed when it becomes idle.
+        }
+        const instant due = target.listed ? surplus_check_time(each->idle_since) : now;
+        if (now < due) {
+            arm_surplus_check(*each, due);
+        } else if (!target.listed || should_close(demand(target), each->idle_since, now)) {
+            fire(*each, event::discard, now);
         }
     }
 }
 
-/// Opens a connection to a registered member that has none, if this daemon is one of those that keep connections to it.
-void member_pool::keep_one_open(pooled_member& target, instant now)
+/// Whether the member is registered and has no connection, although this daemon keeps connections to it.
+bool member_pool::needs_connection(const pooled_member& target)
 {
-    if (target.listed && target.all.empty() && target.is_holder) {
-        open(target, now);
+    return target.listed && target.all.empty() && target.is_holder;
+}
+
+void member_pool::keep_one_open(instant now)
+{
+    for (auto each = connection_checks_.begin(); each != connection_checks_.end();) {
+        const auto found = members_.find(each->first);
+        if (now < each->second) {
+            ++each;
+            continue;
+        }
+        if (found != members_.end() && needs_connection(found->second)) {
+            open(found->second, now);
+        }
+        if (found != members_.end() && needs_connection(found->second)) {
+            each->second = std::max(found->second.next_attempt, now + connection_check_interval);
+            ++each;
+        } else {
+            each = connection_checks_.erase(each);
+        }
     }
 }
 
@@ -256,6 +329,7 @@
         queries.push_back(member_query{{.request_id = {}, .body = each}});
         pooled->exchanges.push_back({.sent_at = now, .ended = ended});
     }
+    arm_answer_timeout(*pooled, now + internal_answer_timeout);
     hooks_.send(send_queries{{.connection = connection, .queries = std::move(queries)}});
 }
 
@@ -298,15 +372,11 @@
     return !target->draining_since || now - *target->draining_since < draining_grace_;
 }
 
-std::vector<std::string> member_pool::members_of(const std::string& service) const
+const std::vector<std::string>& member_pool::members_of(const std::string& service) const
 {
-    std::vector<std::string> ids;
-    for (const auto& [id, each] : members_) {
-        if (each.listed && each.entry->service == service) {
-            ids.push_back(id);
-        }
-    }
-    return ids;
+    static const std::vector<std::string> none;
+    const auto found = listed_.find(service);
+    return found == listed_.end() ? none : found->second;
 }
 
 std::size_t member_pool::open_connections() const
@@ -351,6 +421,20 @@
     return oldest;
 }
 
+void member_pool::arm_answer_timeout(pooled_connection& pooled, instant due)
+{
+    if (!std::exchange(pooled.answer_timeout_armed, true)) {
+        answer_timeouts_.arm(due, pooled.number);
+    }
+}
+
+void member_pool::arm_surplus_check(pooled_connection& pooled, instant due)
+{
+    if (!std::exchange(pooled.surplus_check_armed, true)) {
+        surplus_checks_.arm(due, pooled.number);
+    }
+}
+
 void member_pool::make_idle(pooled_connection& pooled, instant now)
 {
     pooled_member& target = members_.at(pooled.member);
@@ -358,6 +442,7 @@
     pooled.lost = nullptr;
     target.idle.insert(pooled.number);
     target.waiting = 0;
+    arm_surplus_check(pooled, target.listed ? surplus_check_time(now) : now);
 }
 
 void member_pool::forget(pooled_connection& pooled)
@@ -370,6 +455,9 @@
     target.opening -= pooled.state == program_->initial() ? 1 : 0;
     target.all.erase(pooled.number);
     closed_.push_back(pooled.number);
+    if (needs_connection(target)) {
+        connection_checks_[pooled.member] = target.next_attempt;
+    }
 }
 
 void member_pool::unanswered(const std::string& id, instant sent_at, instant now)
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -4,6 +4,7 @@
 #include "citronfall/ids.h"
 #include "citronfall/instant.h"
 #include "citronfall/result.h"
+#include "core/timer_queue.h"
 #include "deployment/member_registration.h"
 #include "pool/connection_budget.h"
 #include "pool/exchange.h"
@@ -64,9 +65,13 @@
     /// Handles an event of the member thread.
     void handle(const member_event& message, instant now);
 
-    /// Opens missing connections and closes surplus ones. Must be called every few tens of milliseconds.
+    /// Opens missing connections and closes surplus and overdue ones. Call it when next() is reached, and at least
+    /// every 100 ms: the ends of idle and of overdue connections may be that late.
     void tick(instant now);
 
+    /// When tick() has to be called next to open a connection; nothing if none is missing.
+    [[nodiscard]] std::optional<instant> next() const;
+
     /// Hands out an idle connection to the member, preferably one that has the wanted session values already. Returns 0
     /// if none is idle, and opens one if the budget allows it.
     [[nodiscard]] connection_number acquire(const std::string& member, const acquire_options& options, instant now);
@@ -99,8 +104,8 @@
     /// allows.
     [[nodiscard]] bool accepts_statements(const std::string& id, instant now) const;
 
-    /// Ids of the registered members of a service.
-    [[nodiscard]] std::vector<std::string> members_of(const std::string& service) const;
+    /// Ids of the registered members of a service, valid until the next call of configure().
+    [[nodiscard]] const std::vector<std::string>& members_of(const std::string& service) const;
 
     /// Number of open connections to all members; part of the daemon's readiness.
     [[nodiscard]] std::size_t open_connections() const;
@@ -141,15 +146,19 @@
     void fire(pooled_connection& pooled, event what, instant now);
     static void record_latency(pooled_member& target, const member_reply& reply, duration latency, instant now);
     void open(pooled_member& target, instant now);
-    void close_surplus(pooled_member& target, instant now);
-    void keep_one_open(pooled_member& target, instant now);
-    void erase_unused_members();
+    void close_surplus(instant now);
+    void keep_one_open(instant now);
+    void check_members(instant now);
+    [[nodiscard]] static bool needs_connection(const pooled_member& target);
+    void erase_unused_member(const std::string& id);
     void on_opened(connection_number number, instant now);
     void on_reply(const member_reply& reply, instant now);
     void on_closed(const member_connection_closed& closed, instant now);
     void close_overdue(instant now);
     void record_connect_failure(pooled_member& target, const member_connection_closed& closed, instant opened_at,
                                 instant now);
+    void arm_answer_timeout(pooled_connection& pooled, instant due);
+    void arm_surplus_check(pooled_connection& pooled, instant due);
     void make_idle(pooled_connection& pooled, instant now);
     void forget(pooled_connection& pooled);
     void update_reachability(pooled_member& target, member_reachability before, instant now);
@@ -159,8 +168,12 @@
     duration draining_grace_; ///< How long a draining member still gets new statements.
     std::optional<chart_program<event, context>> program_;
     std::map<std::string, pooled_member> members_;
+    std::map<std::string, std::vector<std::string>> listed_; ///< Registered members, by service.
     std::map<connection_number, pooled_connection> connections_;
-    std::vector<connection_number> closed_; ///< In their final state; erased by the next tick().
+    std::vector<connection_number> closed_;            ///< In their final state; erased by the next tick().
+    timer_queue<connection_number> answer_timeouts_;   ///< Of the daemon's own statements.
+    timer_queue<connection_number> surplus_checks_;    ///< Of connections that have become idle.
+    std::map<std::string, instant> connection_checks_; ///< Members that may need a first connection, by id.
     connection_number last_connection_ = 0;
     std::uint64_t opened_total_ = 0;
     instant silence_counts_from_{};
--- a/src/pool/pooled_connection.h
+++ b/src/pool/pooled_connection.h
@@ -26,6 +26,8 @@
     std::function<void(instant)> lost; ///< Called if the connection ends while no statement is in flight.
     instant opened_at{};               ///< Start of the connection attempt.
     instant idle_since{};
+    bool answer_timeout_armed = false; ///< The pool has a timer for the answer to a statement of the daemon itself.
+    bool surplus_check_armed = false;  ///< The pool has a timer for the end of the connection.
 };
 
 } // namespace citronfall
--- a/src/registration/daemon_registrar.cc
+++ b/src/registration/daemon_registrar.cc
@@ -1,10 +1,8 @@
 #include "registration/daemon_registrar.h"
 
 #include "registration/fencing_token.h"
-#include "relay/assigned_daemons.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace citronfall {
@@ -14,8 +12,8 @@
 /// would prolong the time after the failure of a lock's holder in which no daemon may change the primary.
 constexpr duration lease_time_to_live = std::chrono::seconds(3);
 
-/// Additional delay per rank before a daemon claims a free lock: several round trips to a slow store.
-constexpr duration claim_delay_per_rank = std::chrono::milliseconds(300);
+/// Additional delay per position before a daemon claims a free lock: several round trips to a slow store.
+constexpr duration claim_delay_per_position = std::chrono::milliseconds(300);
 
 /// Timeout of one write of a key.
 constexpr duration write_timeout = std::chrono::milliseconds(1000);
@@ -48,18 +46,52 @@
         return;
     }
     register_self(now);
-    claim_failover_locks(now);
+    if (claims_due_ && now >= *claims_due_) {
+        claim_failover_locks(now);
+    }
 }
 
-void daemon_registrar::register_self(instant now)
+std::optional<instant> daemon_registrar::next() const
+{
+    if (deregistered_) {
+        return std::nullopt;
+    }
+    std::optional<instant> due = lease_->next();
+    const auto add = [&due](instant other) {
+        due = due ? std::min(*due, other) : other;
+    };
+    if (lease_->lease() == 0) {
+        return due;
+    }
+    if (!registered()) {
+        const auto attempt = next_attempts_.find(own_key());
+        add(attempt == next_attempts_.end() ? instant{} : attempt->second);
+    }
+    if (claims_due_) {
+        add(*claims_due_);
+    }
+    return due;
+}
+
+std::string daemon_registrar::own_key() const
+{
+    return options_.keys.daemons + options_.self->name;
+}
+
+/// Whether this run of the daemon is listed, with its present lease.
+bool daemon_registrar::registered() const
 {
-    const std::string& name = options_.self->name;
-    const auto found = directory_.daemons().find(name);
+    const auto found = directory_.daemons().find(options_.self->name);
     const bool listed = found != directory_.daemons().end() && found->second == options_.self;
-    if (listed && registered_with_ == lease_->lease()) {
+    return listed && registered_with_ == lease_->lease();
+}
+
+void daemon_registrar::register_self(instant now)
+{
+    if (registered()) {
         return;
     }
-    const std::string key = options_.keys.daemons + name;
+    const std::string key = own_key();
     if (now >= next_attempts_[key]) {
         // No condition on the revision: only this daemon writes its own entry.
         next_attempts_[key] = now + min_write_interval;
@@ -81,44 +113,45 @@
 
 void daemon_registrar::claim_failover_locks(instant now)
 {
+    claims_due_.reset();
     if (!directory_.configuration() || !directory_.daemons().contains(options_.self->name)) {
         return;
     }
-    std::set<std::string> services;
-    for (const auto& [database, each] : (*directory_.configuration())->routes) {
-        services.insert(each->service);
-    }
-    for (const std::string& service : services) {
-        if (options_.may_claim(service)) {
-            claim_failover_lock(service, now);
+    for (const std::string& service : directory_.used_services()) {
+        const auto order = options_.claim_order(service);
+        const auto due = order ? claim_failover_lock(service, *order, now) : std::nullopt;
+        if (due) {
+            claims_due_ = claims_due_ ? std::min(*claims_due_, *due) : *due;
         }
     }
 }
 
-void daemon_registrar::claim_failover_lock(const std::string& service, instant now)
+/// Claims the lock of a service if it is free and this daemon's turn has come. Returns when to look at it again;
+/// nothing if only a change of the directory can free it.
+std::optional<instant> daemon_registrar::claim_failover_lock(const std::string& service, std::size_t order, instant now)
 {
     const auto held = directory_.failover_locks().find(service);
-    if (held != directory_.failover_locks().end() && held->second->holder != options_.self->name) {
+    const bool held_by_other = held != directory_.failover_locks().end() && held->second->holder != options_.self->name;
+    if (held_by_other || (held != directory_.failover_locks().end() && is_own(held->second))) {
         free_since_.erase(service);
-        return;
-    }
-    if (held != directory_.failover_locks().end() && is_own(held->second)) {
-        return;
+        return std::nullopt;
     }
     const bool free = held == directory_.failover_locks().end();
     if (!free && held->second->acquired_at.era != lease_->era()) {
-        return; // The present revision is not known before the restored store has been read.
+        return std::nullopt; // The present revision is not known before the restored store has been read.
     }
     // Free, or held by an earlier run or lease of this daemon, from which it takes the lock over with a higher fencing
     // token.
     const instant since = free_since_.try_emplace(service, now).first->second;
-    if (free && now - since < claim_delay_per_rank * static_cast<int>(rank(service))) {
-        return;
+    const instant turn = since + claim_delay_per_position * static_cast<int>(order);
+    if (free && now < turn) {
+        return turn;
     }
+    const std::string key = options_.keys.failover_locks + service;
     const failover_lock wanted{
         {.service = service, .holder = options_.self->name, .incarnation = options_.self->incarnation}};
-    write(options_.keys.failover_locks + service, options_.encode_failover_lock(wanted),
-          free ? 0 : held->second->acquired_at.revision, now);
+    write(key, options_.encode_failover_lock(wanted), free ? 0 : held->second->acquired_at.revision, now);
+    return next_attempts_[key];
 }
 
 void daemon_registrar::write(const std::string& key, const std::string& value, kv_revision expected, instant now)
@@ -134,17 +167,10 @@
     pending_writes_[number] = {.key = key, .lease = lease_->lease()};
 }
 
-std::size_t daemon_registrar::rank(const std::string& service) const
-{
-    const std::uint64_t own_rank = rendezvous_rank(service, options_.self->name);
-    return static_cast<std::size_t>(
-        std::count_if(directory_.daemons().begin(), directory_.daemons().end(),
-                      [&](const auto& each) { return rendezvous_rank(service, each.first) < own_rank; }));
-}
-
 bool daemon_registrar::handle(const store_answer& answer, instant now)
 {
     if (lease_->handle(answer, now)) {
+        claims_due_ = now; // The lease may be new, and its locks with it.
         return true;
     }
     const auto found = pending_writes_.find(answer->number);
@@ -155,7 +181,7 @@
     pending_writes_.erase(found);
     options_.log("store_write", "key=" + written.key + " outcome=" + call_outcome_name(answer->outcome) +
                                     " revision=" + std::to_string(answer->revision));
-    if (answer->outcome == call_outcome::done && written.key == options_.keys.daemons + options_.self->name) {
+    if (answer->outcome == call_outcome::done && written.key == own_key()) {
         registered_with_ = written.lease;
     }
     return true;
--- a/src/registration/daemon_registrar.h
+++ b/src/registration/daemon_registrar.h
@@ -18,7 +18,8 @@
 struct daemon_registrar_options {
     daemon_registration self;
     service_directory_keys keys;
-    std::function<bool(const std::string& service)> may_claim; ///< Whether this daemon connects to the members.
+    /// Position of this daemon, from 0, among those that may claim the lock of a service; nothing if it may not.
+    std::function<std::optional<std::size_t>(const std::string& service)> claim_order;
     bool fences_enforced = true; ///< The platform rejects promotions with a fencing token below one it has seen.
     std::function<call_number(call_body, duration timeout)> call;
     std::function<std::string(const daemon_registration&)> encode_daemon;
@@ -29,8 +30,8 @@
 /// Registers this daemon in the store and claims failover locks that are free.
 ///
 /// All entries are attached to one lease, so a daemon costs the store one renewal per second, however many locks it
-/// holds. Rendezvous hashing ranks the daemons for each service. The first claims a free lock immediately and each
-/// further rank waits a little longer, which spreads the locks over the daemons and avoids races between them. Not
+/// holds. The daemons assigned to a service may claim its lock: the first claims a free lock immediately and each
+/// further one waits a little longer, which spreads the locks over the daemons and avoids races between them. Not
 /// thread-safe: owned by the decision thread.
 class daemon_registrar {
 public:
@@ -38,9 +39,16 @@
     [[nodiscard]] static result<std::unique_ptr<daemon_registrar>> make(daemon_registrar_options options,
                                                                         const service_directory& directory);
 
-    /// Renews the lease, registers this daemon and claims free locks. Call it every few tens of milliseconds.
+    /// Renews the lease, registers this daemon and claims free locks. Call it when next() is reached.
     void tick(instant now);
 
+    /// When tick() has to be called next; nothing while only an answer or a change of the directory can cause an
+    /// action.
+    [[nodiscard]] std::optional<instant> next() const;
+
+    /// Reports that the directory or the order of claims has changed.
+    void directory_changed(instant now) { claims_due_ = now; }
+
     /// Handles an answer of the platform. Returns false, without effect, if the call was not made by this object.
     bool handle(const store_answer& answer, instant now);
 
@@ -74,11 +82,13 @@
     {
     }
 
+    [[nodiscard]] std::string own_key() const;
+    [[nodiscard]] bool registered() const;
     void register_self(instant now);
     void claim_failover_locks(instant now);
-    void claim_failover_lock(const std::string& service, instant now);
+    [[nodiscard]] std::optional<instant> claim_failover_lock(const std::string& service, std::size_t order,
+                                                             instant now);
     void write(const std::string& key, const std::string& value, kv_revision expected, instant now);
-    [[nodiscard]] std::size_t rank(const std::string& service) const;
     [[nodiscard]] bool is_own(const failover_lock& lock) const;
 
     daemon_registrar_options options_;
@@ -88,6 +98,7 @@
     std::map<std::string, instant> next_attempts_;        ///< By key.
     std::map<std::string, instant> free_since_;           ///< When the lock was found free, by service.
     std::map<std::string, std::uint64_t> refused_fences_; ///< Highest rejected fencing token, by service.
+    std::optional<instant> claims_due_;                   ///< When locks have to be looked at again.
     lease_number registered_with_ = 0;                    ///< Lease of the last successful registration.
     bool deregistered_ = false;
 };
--- a/src/relay/assigned_daemons.h
+++ b/src/relay/assigned_daemons.h
@@ -21,7 +21,7 @@
 /// The daemons `assigned` to a service, in the order in which the daemon `self` prefers to relay to them. The order
 /// differs between daemons, which spreads the load. Thread-safe.
 [[nodiscard]] std::vector<std::string> preferred_relay_targets(const std::string& self,
-                                                               std::vector<std::string> assigned);
+                                                               const std::vector<std::string>& assigned);
 
 /// Rank of a daemon for a service by rendezvous hashing; the lowest comes first. The same on all daemons. Thread-safe.
 [[nodiscard]] std::uint64_t rendezvous_rank(const std::string& service, const std::string& daemon);
--- /dev/null
+++ b/src/relay/relay_directory.cc
@@ -0,0 +1,146 @@
+#include "relay/relay_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronfall {
+namespace {
+
+/// Number of a service's assigned daemons to which a daemon that relays its statements stays connected: if one is lost,
+/// the other takes over.
+constexpr std::size_t relay_targets_used = 2;
+
+/// Number of a service's other assigned daemons to which an assigned daemon stays connected, to ask them before it
+/// replaces a primary.
+constexpr std::size_t max_connected_assigned = 6;
+
+const std::vector<std::string> no_daemons{};
+
+/// The first `count` daemons that do not shut down, or the first ones if all do.
+std::vector<std::string> first_staying(const std::vector<std::string>& daemons, const std::set<std::string>& leaving,
+                                       std::size_t count)
+{
+    std::vector<std::string> staying;
+    for (const std::string& each : daemons) {
+        if (!leaving.contains(each) && staying.size() < count) {
+            staying.push_back(each);
+        }
+    }
+    if (!staying.empty()) {
+        return staying;
+    }
+    const auto end = daemons.begin() + static_cast<std::ptrdiff_t>(std::min(daemons.size(), count));
+    return {daemons.begin(), end};
+}
+
+} // namespace
+
+void relay_directory::configure(const std::map<std::string, std::uint32_t>& limits,
+                                const std::set<std::string>& daemons)
+{
+    if (limits == limits_ && daemons == daemons_) {
+        return;
+    }
+    limits_ = limits;
+    daemons_ = daemons;
+    std::vector<std::string> all(daemons.begin(), daemons.end());
+    all.push_back(self_);
+    services_.clear();
+    for (const auto& [service, limit] : limits_) {
+        services_[service].assignment = make_service_assignment(service, all, limit, self_);
+    }
+    update_connected();
+    update_pinned();
+}
+
+void relay_directory::connected(const std::string& peer)
+{
+    if (peers_.insert(peer).second) {
+        update_connected();
+    }
+}
+
+void relay_directory::disconnected(const std::string& peer)
+{
+    const bool was_leaving = leaving_.erase(peer) > 0;
+    if (peers_.erase(peer) > 0 || was_leaving) {
+        update_connected();
+        update_pinned();
+    }
+}
+
+void relay_directory::leaves(const std::string& peer)
+{
+    if (leaving_.insert(peer).second) {
+        update_connected();
+        update_pinned();
+    }
+}
+
+void relay_directory::update_connected()
+{
+    relays_somewhere_ = false;
+    for (auto& [service, entry] : services_) {
+        entry.connected.clear();
+        for (const std::string& each : entry.assignment->targets) {
+            if (peers_.contains(each)) {
+                entry.connected.push_back(each);
+            }
+        }
+        entry.targets = first_staying(entry.connected, leaving_, relay_targets_used);
+        relays_somewhere_ = relays_somewhere_ || (!entry.assignment->self_assigned && !entry.connected.empty());
+    }
+}
+
+void relay_directory::update_pinned()
+{
+    pinned_.clear();
+    for (const auto& [service, entry] : services_) {
+        std::size_t missing = entry.assignment->self_assigned ? max_connected_assigned : relay_targets_used;
+        for (const std::string& each : entry.assignment->targets) {
+            if (missing > 0 && !leaving_.contains(each)) {
+                pinned_.insert(each);
+                --missing;
+            }
+        }
+    }
+}
+
+const relay_directory::service_entry* relay_directory::find(const std::string& service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+bool relay_directory::is_assigned(const std::string& service) const
+{
+    const service_entry* entry = find(service);
+    return entry == nullptr || entry->assignment->self_assigned;
+}
+
+std::optional<std::size_t> relay_directory::own_position(const std::string& service) const
+{
+    const std::vector<std::string>& all = assigned(service);
+    const auto own = std::find(all.begin(), all.end(), self_);
+    return own == all.end() ? std::nullopt : std::optional(static_cast<std::size_t>(own - all.begin()));
+}
+
+const std::vector<std::string>& relay_directory::assigned(const std::string& service) const
+{
+    const service_entry* entry = find(service);
+    return entry == nullptr ? no_daemons : entry->assignment->assigned;
+}
+
+const std::vector<std::string>& relay_directory::connected_to(const std::string& service) const
+{
+    const service_entry* entry = find(service);
+    return entry == nullptr ? no_daemons : entry->connected;
+}
+
+const std::vector<std::string>& relay_directory::targets(const std::string& service) const
+{
+    const service_entry* entry = find(service);
+    return entry == nullptr ? no_daemons : entry->targets;
+}
+
+} // namespace citronfall
--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -59,7 +59,9 @@
 task_number statement_relay::submit(const std::string& peer, const task_request& request, instant now)
 {
     const task_number number = first_relay_number + ++last_number_;
-    sent_[number] = {peer, request, now, now + request->matched_route->statement_timeout + round_trip_allowance};
+    sent_[number] = {peer, request, now};
+    ++pending_[peer];
+    deadlines_.arm(now + request->matched_route->statement_timeout + round_trip_allowance, number);
     send(number, sent_[number], now);
     return number;
 }
@@ -86,6 +88,8 @@
     if (target.empty() || target == refused_by) {
         return false;
     }
+    remove_pending(sent.peer);
+    ++pending_[target];
     sent.peer = target;
     send(number, sent, now);
     return true;
@@ -113,7 +117,7 @@
         return task >= first_relay_number;
     }
     hooks_.send(found->second.peer, relayed_end{{.number = task}});
-    sent_.erase(found);
+    forget_sent(task);
     return true;
 }
 
@@ -220,7 +224,7 @@
         return;
     }
     const sent_statement done = found->second;
-    sent_.erase(found);
+    forget_sent(found->first);
     connection_number connection = done.request->connection;
     if (outcome->transaction == 0) {
         remote_transactions_.erase(connection);
@@ -302,7 +306,7 @@
 {
     const auto found = sent_.find(number);
     const sent_statement lost = found->second;
-    sent_.erase(found);
+    forget_sent(number);
     if (lost.request->connection != 0) {
         end(lost.request->connection);
     }
@@ -325,21 +329,33 @@
 
 void statement_relay::tick(instant now)
 {
-    std::vector<task_number> overdue;
-    for (const auto& [number, each] : sent_) {
-        if (now >= each.deadline) {
-            overdue.push_back(number);
+    while (const auto number = deadlines_.pop_due(now)) {
+        if (sent_.contains(*number)) {
+            expire(*number, now);
         }
     }
-    for (const task_number number : overdue) {
-        expire(number, now);
-    }
 }
 
 std::size_t statement_relay::pending_answers(const std::string& peer) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(sent_.begin(), sent_.end(), [&](const auto& each) { return each.second.peer == peer; }));
+    const auto found = pending_.find(peer);
+    return found == pending_.end() ? 0 : found->second;
+}
+
+void statement_relay::forget_sent(task_number number)
+{
+    const auto found = sent_.find(number);
+    remove_pending(found->second.peer);
+    sent_.erase(found);
+    deadlines_.drop_void([this](task_number each) { return !sent_.contains(each); });
+}
+
+void statement_relay::remove_pending(const std::string& peer)
+{
+    const auto found = pending_.find(peer);
+    if (--found->second == 0) {
+        pending_.erase(found);
+    }
 }
 
 } // namespace citronfall
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -2,6 +2,7 @@
 
 #include "citronfall/instant.h"
 #include "citronfall/peer_message.h"
+#include "core/timer_queue.h"
 #include "dispatch/statement_location.h"
 #include "dispatch/statement_task.h"
 
@@ -84,9 +85,12 @@
     /// Reports that the connection to a peer was lost.
     void disconnected(const std::string& peer, instant now);
 
-    /// Fails statements whose answer is overdue. Call it every few tens of milliseconds.
+    /// Fails statements whose answer is overdue. Call it when next() is reached.
     void tick(instant now);
 
+    /// When tick() has to be called next; nothing if no statement is in progress on a peer.
+    [[nodiscard]] std::optional<instant> next() const { return deadlines_.next(); }
+
     /// Number of statements sent to a peer and not answered yet.
     [[nodiscard]] std::size_t pending_answers(const std::string& peer) const;
 
@@ -95,7 +99,6 @@
         std::string peer;
         task_request request;
         instant sent_at{};
-        instant deadline{};
     };
     struct remote_transaction {
         std::string peer;
@@ -108,11 +111,15 @@
     };
 
     void send(task_number number, const sent_statement& sent, instant now);
+    void forget_sent(task_number number);
+    void remove_pending(const std::string& peer);
     bool send_elsewhere(task_number number, const std::string& refused_by, instant now);
     void fail_lost(task_number number, instant now);
 
     statement_relay_hooks hooks_;
     std::map<task_number, sent_statement> sent_;
+    std::map<std::string, std::size_t> pending_; ///< Number of statements in sent_, by peer.
+    timer_queue<task_number> deadlines_;
     std::map<connection_number, remote_transaction> remote_transactions_;
     std::map<session_number, running_statement> running_; ///< By the session number that this relay assigned.
     std::map<connection_number, std::string>
--- a/tests/registration_test.cc
+++ b/tests/registration_test.cc
@@ -41,7 +41,7 @@
         auto made = daemon_registrar::make(
             {.self = self,
              .keys = {.daemons = "citronfall/daemons/", .failover_locks = "citronfall/locks/"},
-             .may_claim = [](const std::string&) { return true; },
+             .claim_order = [](const std::string&) { return std::optional<std::size_t>(0); },
              .call =
                  [this](call_body body, duration) {
                      sent.push_back({sent.size() + 1, std::move(body)});
@@ -97,6 +97,7 @@
     void apply(const std::string& key, const std::string& value, kv_revision revision, lease_number lease)
     {
         directory.apply(store_item{{.key = key, .value = value, .revision = revision, .lease = lease}}, era, {});
+        registrar->directory_changed(now);
     }
 
     daemon_registration self{{.name = "d1", .peer_address = "127.0.0.1:1", .data_center = "dc", .incarnation = 7}};
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -267,6 +267,9 @@
 void gateway_simulation::stop_daemon(std::size_t index)
 {
     daemons_[index]->stopped = true;
+    for (const auto& [connection, member] : std::exchange(daemons_[index]->connections, {})) {
+        service_.close(member, member_session_id(index, connection)); // By the end of the process.
+    }
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         if (i != index) {
             deliver(i, peer_event{{.from = "d" + std::to_string(index), .kind = peer_event_kind::disconnected}});
