--- a/include/citronfall/peer_hello.h
+++ b/include/citronfall/peer_hello.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronfall/immutable.h"
+#include "citronfall/instant.h"
 
 #include <cstdint>
 #include <string>
@@ -12,6 +13,8 @@
     std::string region;
     std::string data_center;
     std::uint64_t incarnation = 0; ///< Distinguishes runs of the same daemon.
+    /// The sender closes the connection if no frame arrives for this long.
+    duration receive_timeout = std::chrono::seconds(5);
 
     friend auto operator<=>(const peer_hello_fields&, const peer_hello_fields&) = default;
 };
--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -293,7 +293,8 @@
     VT_DAEMON = 4,
     VT_REGION = 6,
     VT_DATA_CENTER = 8,
-    VT_INCARNATION = 10
+    VT_INCARNATION = 10,
+    VT_RECEIVE_TIMEOUT_MS = 12
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -307,6 +308,9 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  uint32_t receive_timeout_ms() const {
+    return GetField<uint32_t>(VT_RECEIVE_TIMEOUT_MS, 5000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -316,6 +320,7 @@
            VerifyOffset(verifier, VT_DATA_CENTER) &&
            verifier.VerifyString(data_center()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RECEIVE_TIMEOUT_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -336,6 +341,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(hello::VT_INCARNATION, incarnation, 0);
   }
+  void add_receive_timeout_ms(uint32_t receive_timeout_ms) {
+    fbb_.AddElement<uint32_t>(hello::VT_RECEIVE_TIMEOUT_MS, receive_timeout_ms, 5000);
+  }
   explicit helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -352,9 +360,11 @@
     flatbuffers::Offset<flatbuffers::String> daemon = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    uint32_t receive_timeout_ms = 5000) {
   helloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_receive_timeout_ms(receive_timeout_ms);
   builder_.add_data_center(data_center);
   builder_.add_region(region);
   builder_.add_daemon(daemon);
@@ -366,7 +376,8 @@
     const char *daemon = nullptr,
     const char *region = nullptr,
     const char *data_center = nullptr,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    uint32_t receive_timeout_ms = 5000) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
@@ -375,7 +386,8 @@
       daemon__,
       region__,
       data_center__,
-      incarnation);
+      incarnation,
+      receive_timeout_ms);
 }
 
 struct digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1004,7 +1016,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CHANGED_AT = 4,
     VT_STORE_LIVE = 6,
-    VT_ERAS = 8
+    VT_ERAS = 8,
+    VT_COMPLETE_TO = 10,
+    VT_CONTENTS = 12,
+    VT_CURRENT_AGE_MS = 14,
+    VT_STORE_FAILURE_AGE_MS = 16
   };
   const flatbuffers::Vector<uint64_t> *changed_at() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CHANGED_AT);
@@ -1015,6 +1031,18 @@
   const flatbuffers::Vector<uint64_t> *eras() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ERAS);
   }
+  const flatbuffers::Vector<uint64_t> *complete_to() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_COMPLETE_TO);
+  }
+  const flatbuffers::Vector<uint64_t> *contents() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CONTENTS);
+  }
+  uint32_t current_age_ms() const {
+    return GetField<uint32_t>(VT_CURRENT_AGE_MS, 4294967295);
+  }
+  uint32_t store_failure_age_ms() const {
+    return GetField<uint32_t>(VT_STORE_FAILURE_AGE_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CHANGED_AT) &&
@@ -1022,6 +1050,12 @@
            VerifyField<uint8_t>(verifier, VT_STORE_LIVE, 1) &&
            VerifyOffset(verifier, VT_ERAS) &&
            verifier.VerifyVector(eras()) &&
+           VerifyOffset(verifier, VT_COMPLETE_TO) &&
+           verifier.VerifyVector(complete_to()) &&
+           VerifyOffset(verifier, VT_CONTENTS) &&
+           verifier.VerifyVector(contents()) &&
+           VerifyField<uint32_t>(verifier, VT_CURRENT_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_FAILURE_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1039,6 +1073,18 @@
   void add_eras(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras) {
     fbb_.AddOffset(store_digest::VT_ERAS, eras);
   }
+  void add_complete_to(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> complete_to) {
+    fbb_.AddOffset(store_digest::VT_COMPLETE_TO, complete_to);
+  }
+  void add_contents(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents) {
+    fbb_.AddOffset(store_digest::VT_CONTENTS, contents);
+  }
+  void add_current_age_ms(uint32_t current_age_ms) {
+    fbb_.AddElement<uint32_t>(store_digest::VT_CURRENT_AGE_MS, current_age_ms, 4294967295);
+  }
+  void add_store_failure_age_ms(uint32_t store_failure_age_ms) {
+    fbb_.AddElement<uint32_t>(store_digest::VT_STORE_FAILURE_AGE_MS, store_failure_age_ms, 4294967295);
+  }
   explicit store_digestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1054,8 +1100,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> changed_at = 0,
     bool store_live = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> complete_to = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents = 0,
+    uint32_t current_age_ms = 4294967295,
+    uint32_t store_failure_age_ms = 4294967295) {
   store_digestBuilder builder_(_fbb);
+  builder_.add_store_failure_age_ms(store_failure_age_ms);
+  builder_.add_current_age_ms(current_age_ms);
+  builder_.add_contents(contents);
+  builder_.add_complete_to(complete_to);
   builder_.add_eras(eras);
   builder_.add_changed_at(changed_at);
   builder_.add_store_live(store_live);
@@ -1066,14 +1120,24 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint64_t> *changed_at = nullptr,
     bool store_live = false,
-    const std::vector<uint64_t> *eras = nullptr) {
+    const std::vector<uint64_t> *eras = nullptr,
+    const std::vector<uint64_t> *complete_to = nullptr,
+    const std::vector<uint64_t> *contents = nullptr,
+    uint32_t current_age_ms = 4294967295,
+    uint32_t store_failure_age_ms = 4294967295) {
   auto changed_at__ = changed_at ? _fbb.CreateVector<uint64_t>(*changed_at) : 0;
   auto eras__ = eras ? _fbb.CreateVector<uint64_t>(*eras) : 0;
+  auto complete_to__ = complete_to ? _fbb.CreateVector<uint64_t>(*complete_to) : 0;
+  auto contents__ = contents ? _fbb.CreateVector<uint64_t>(*contents) : 0;
   return citronfall::wire::Createstore_digest(
       _fbb,
       changed_at__,
       store_live,
-      eras__);
+      eras__,
+      complete_to__,
+      contents__,
+      current_age_ms,
+      store_failure_age_ms);
 }
 
 struct store_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -8,8 +8,8 @@
 namespace citronfall {
 namespace {
 
-/// Longest time between two ticks. It bounds the time until a stall of the process and an overdue answer are noticed;
-/// other work has its own due time.
+/// Longest time between two ticks. It bounds the time until a stall of the process and an overdue answer are noticed,
+/// and the delay of renewals, digests and metrics, which wait for the next tick so that they cause none of their own.
 constexpr duration max_tick_interval = std::chrono::milliseconds(100);
 
 /// Interval of ticks while the daemon drains, which bounds the delay of the close of a session.
@@ -41,8 +41,6 @@
 /// A daemon whose statement has waited for this long, without any other answer from the primary, suspects it as well.
 constexpr duration overdue_answer_age = std::chrono::milliseconds(250);
 
-constexpr std::size_t member_mirror_index = 1;
-
 } // namespace
 
 gateway_engine::gateway_engine(gateway_engine_options options)
@@ -79,10 +77,7 @@
     while (const auto due = timers_.pop_due(now)) {
         (*due)(now);
     }
-    for (const auto& mirror : mirrors_) {
-        mirror->tick(now);
-    }
-    gossip_->tick(now);
+    replica_->tick(now);
     registrar_->tick(now);
     directory_changed_ = directory_->expire(now) || directory_changed_;
     pool_->tick(now);
@@ -117,14 +112,10 @@
         return now;
     }
     instant due = last_tick_ + (lifecycle_->draining() ? drain_tick_interval : max_tick_interval);
-    due = std::min({due, gossip_->next(), next_metrics_, next_services_tick_});
-    for (const auto& each : {timers_.next(), dispatcher_->next(), statement_relay_->next(), registrar_->next(),
+    for (const auto& each : {timers_.next(), dispatcher_->next(), statement_relay_->next(), replica_->next(),
                              monitor_->next(), pool_->next(), directory_->next_expiry()}) {
         due = each ? std::min(due, *each) : due;
     }
-    for (const auto& each : mirrors_) {
-        due = std::min(due, each->next().value_or(due));
-    }
     return std::max(due, now);
 }
 
@@ -151,16 +142,12 @@
 
 void gateway_engine::on_event(const store_answer& answer, instant now)
 {
-    for (const auto& mirror : mirrors_) {
-        mirror->note_era(answer->era, now);
-    }
     registrar_->note_era(answer->era, now);
-    for (const auto& mirror : mirrors_) {
-        if (mirror->handle(answer, now)) {
-            return;
-        }
+    if (replica_->handle(answer, now)) {
+        return;
     }
     if (registrar_->handle(answer, now)) {
+        tick_wanted_ = true; // The next step of a registration or a claim follows at once.
         return;
     }
     for (const auto& [service, change] : primary_changes_) {
@@ -177,7 +164,7 @@
     case peer_event_kind::connected:
         log(log_priority::notable, "peer_connected", "peer=" + event->from);
         relay_directory_.connected(event->from);
-        gossip_->connected(event->from);
+        replica_->connected(event->from, now);
         if (leaving_) {
             options_.send_peer_command(outgoing_peer_message{{.to = event->from, .message = leave_notice{}}});
         }
@@ -186,7 +173,7 @@
         log(log_priority::notable, "peer_lost",
             "peer=" + event->from + " reason=" + peer_close_reason_name(event->reason));
         relay_directory_.disconnected(event->from);
-        gossip_->disconnected(event->from);
+        replica_->disconnected(event->from);
         statement_relay_->disconnected(event->from, now);
         return;
     case peer_event_kind::received:
@@ -212,11 +199,12 @@
 void gateway_engine::on_peer_message(const std::string& peer, const peer_message& message, instant now)
 {
     if (const auto* digest = std::get_if<store_digest>(&message)) {
-        gossip_->handle(peer, *digest, now);
+        replica_->handle(peer, *digest, now);
+        registrar_->note_era(replica_->era(), now);
     } else if (const auto* request = std::get_if<store_request>(&message)) {
-        gossip_->handle(peer, *request);
+        replica_->handle(peer, *request);
     } else if (const auto* items = std::get_if<store_changes>(&message)) {
-        gossip_->handle(peer, *items, now);
+        replica_->handle(peer, *items, now);
     } else if (const auto* query = std::get_if<suspicion_query>(&message)) {
         answer_suspicion(peer, *query, now);
     } else if (const auto* reply = std::get_if<suspicion_reply>(&message)) {
@@ -285,16 +273,21 @@
     const std::string& members = options_.service_directory.keys.members;
     const bool departed = item->deleted && item->key.starts_with(members);
     directory_->apply(item, era, departed ? departure_of(item->key.substr(members.size())) : member_departure{});
+    tick_wanted_ = true;
+    if (item->key.starts_with(options_.service_directory.keys.failover_locks)) {
+        registrar_->directory_changed(now_); // Locks change neither members nor assignments.
+        return;
+    }
     directory_changed_ = true;
     if (item->key == options_.service_directory.keys.configuration) {
-        gossip_->announce();
+        replica_->announce();
     }
 }
 
 member_departure gateway_engine::departure_of(const std::string& member) const
 {
     const pooled_member* known = pool_->member(member);
-    const auto failed_at = mirrors_[member_mirror_index]->failed_at();
+    const auto failed_at = replica_->store_failed_at();
     const bool store_failed_recently = failed_at && now_ - *failed_at < reregistration_time;
     if (known != nullptr && known->health.reachability() == member_reachability::reachable) {
         return {.drain_at = now_ + reregistration_time,
@@ -327,17 +320,7 @@
     }
     pool_->configure(members, shares, now);
     add_primary_changes(now);
-    peer_candidates_fields candidates;
-    const std::set<std::string>& pinned = relay_directory_.pinned();
-    for (const auto& [name, entry] : directory_->daemons()) {
-        if (name != options_.settings->name && !entry->peer_address.empty()) {
-            candidates.addresses.push_back(entry->peer_address);
-        }
-        if (pinned.contains(name) && !entry->peer_address.empty()) {
-            candidates.pinned.push_back(entry->peer_address);
-        }
-    }
-    options_.send_peer_command(peer_candidates{std::move(candidates)});
+    send_candidates();
     registrar_->directory_changed(now);
     pool_->tick(now);
     tick_wanted_ = true;
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -15,8 +15,7 @@
 #include "gateway/gateway_settings.h"
 #include "leader/leader_monitor.h"
 #include "metrics/metrics_registry.h"
-#include "mirror/mirror_gossip.h"
-#include "mirror/store_mirror.h"
+#include "mirror/store_replica.h"
 #include "pool/member_pool.h"
 #include "primary_change/primary_change.h"
 #include "registration/daemon_registrar.h"
@@ -79,9 +78,8 @@
     explicit gateway_engine(gateway_engine_options options);
 
     result<done> build();
-    result<done> build_mirrors();
-    /// Minimum time between two calls for changes under a prefix.
-    [[nodiscard]] duration batch_delay(const std::string& prefix) const;
+    result<done> build_replica();
+    result<done> build_registrar();
     result<done> build_pool();
     result<done> build_sessions();
     result<done> build_lifecycle();
@@ -104,6 +102,7 @@
     void note_relayed_here(const std::string& service, instant now);
     [[nodiscard]] std::string relay_target(const std::string& service) const;
     void assign_daemons();
+    void send_candidates();
     void announce_leave();
     void note_peer_leaves(const std::string& peer);
     call_number call_store(call_body body, duration timeout);
@@ -134,8 +133,7 @@
     instant next_connections_log_{};
     timer_queue<std::function<void(instant)>> timers_;
     std::unique_ptr<service_directory> directory_;
-    std::vector<std::unique_ptr<store_mirror>> mirrors_;
-    std::unique_ptr<mirror_gossip> gossip_;
+    std::unique_ptr<store_replica> replica_;
     std::unique_ptr<daemon_registrar> registrar_;
     std::unique_ptr<member_pool> pool_;
     std::unique_ptr<leader_monitor> monitor_;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -8,25 +8,14 @@
 namespace citronfall {
 namespace {
 
-/// Duration of a watch without events; the store allows 30 s. TCP keep-alive detects a dead connection much sooner.
-constexpr duration watch_wait = std::chrono::seconds(29);
-
-/// Minimum time between two calls for changes. A new configuration must take effect on all daemons within seconds; the
+/// Time between two watches, to batch changes. A new configuration must take effect on all daemons within seconds; the
 /// entries of members and daemons change several at a time when instances start.
 constexpr duration configuration_batch_delay = std::chrono::milliseconds(20);
 constexpr duration entry_batch_delay = std::chrono::milliseconds(400);
 
-/// With more daemons than this the delay grows with their number, so that the store gets no more calls per second than
-/// from this many daemons. Meanwhile peers pass changes on to each other.
-constexpr std::size_t max_unthrottled_daemons = 8;
-
-/// Upper limit of the delay for changes of members: a member's drain bound starts when the member itself reports that
-/// it drains, however late this daemon learns of it.
-constexpr duration max_member_batch_delay = std::chrono::milliseconds(1000);
-
-/// Time before the drain bound at which a draining member gets no new work, because the change may be noticed late: the
-/// longest delay plus as much again for the calls themselves.
-constexpr duration listed_drain_reserve = 2 * max_member_batch_delay;
+/// Time before the drain bound at which a draining member gets no new work, because the change may be noticed late: a
+/// batch, a digest a second later and the calls themselves.
+constexpr duration listed_drain_reserve = std::chrono::milliseconds(2000);
 
 } // namespace
 
@@ -38,8 +27,9 @@
     options_.service_directory.log = log_notable;
     directory_ = std::make_unique<service_directory>(options_.service_directory);
     build_relay();
-    for (const auto& step : {&gateway_engine::build_pool, &gateway_engine::build_mirrors,
-                             &gateway_engine::build_sessions, &gateway_engine::build_lifecycle}) {
+    for (const auto& step :
+         {&gateway_engine::build_pool, &gateway_engine::build_replica, &gateway_engine::build_registrar,
+          &gateway_engine::build_sessions, &gateway_engine::build_lifecycle}) {
         if (auto built = (this->*step)(); !ok(built)) {
             return built;
         }
@@ -113,46 +103,35 @@
     return done{};
 }
 
-duration gateway_engine::batch_delay(const std::string& prefix) const
+result<done> gateway_engine::build_replica()
 {
-    const duration least = prefix == options_.configuration_prefix ? configuration_batch_delay : entry_batch_delay;
-    const auto daemons = static_cast<int>(directory_->daemons().size());
-    const duration scaled = std::max(least, least * daemons / static_cast<int>(max_unthrottled_daemons));
-    return prefix == options_.service_directory.keys.members ? std::min(scaled, max_member_batch_delay) : scaled;
+    const gateway_settings& settings = options_.settings;
+    auto replica = store_replica::make(
+        {.self = watcher_candidate{{.name = settings->name, .data_center = settings->data_center}},
+         .ranges = {{.prefix = options_.configuration_prefix, .batch_delay = configuration_batch_delay},
+                    {.prefix = options_.service_directory.keys.members, .batch_delay = entry_batch_delay},
+                    {.prefix = options_.own_prefix, .batch_delay = entry_batch_delay, .has_daemons = true}},
+         .first_start = settings->first_start,
+         .call = [this](call_body body, duration timeout) { return call_store(std::move(body), timeout); },
+         .changed = [this](const store_item& item, store_era era) { apply_store_item(item, era); },
+         .send =
+             [this](const std::string& peer, const peer_message& message) {
+                 options_.send_peer_command(outgoing_peer_message{{.to = peer, .message = message}});
+             },
+         .random = options_.random,
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 log(log_priority::notable, event, fields);
+             }});
+    if (!ok(replica)) {
+        return error_of(replica);
+    }
+    replica_ = take(std::move(replica));
+    return done{};
 }
 
-result<done> gateway_engine::build_mirrors()
+result<done> gateway_engine::build_registrar()
 {
-    const auto log_notable = [this](const std::string& event, const std::string& fields) {
-        log(log_priority::notable, event, fields);
-    };
-    const auto call = [this](call_body body, duration timeout) {
-        return call_store(std::move(body), timeout);
-    };
-    std::vector<store_mirror*> all;
-    for (const std::string& prefix :
-         {options_.configuration_prefix, options_.service_directory.keys.members, options_.own_prefix}) {
-        auto mirror = store_mirror::make(
-            {.prefix = prefix,
-             .watch_wait = watch_wait,
-             .batch_delay = [this, prefix] { return batch_delay(prefix); },
-             .call = call,
-             .changed = [this](const store_item& item, store_era era) { apply_store_item(item, era); },
-             .log = log_notable});
-        if (!ok(mirror)) {
-            return error_of(mirror);
-        }
-        mirrors_.push_back(take(std::move(mirror)));
-        all.push_back(mirrors_.back().get());
-    }
-    gossip_ = std::make_unique<mirror_gossip>(mirror_gossip_options{
-        .mirrors = all,
-        .send =
-            [this](const std::string& peer, const peer_message& message) {
-                options_.send_peer_command(outgoing_peer_message{{.to = peer, .message = message}});
-            },
-        .random = options_.random,
-        .log = log_notable});
     const gateway_settings& settings = options_.settings;
     auto registrar = daemon_registrar::make(
         {.self = daemon_registration{{.name = settings->name,
@@ -162,10 +141,13 @@
          .keys = options_.service_directory.keys,
          .claim_order = [this](const std::string& service) { return relay_directory_.own_position(service); },
          .fences_enforced = settings->fences_enforced,
-         .call = call,
+         .call = [this](call_body body, duration timeout) { return call_store(std::move(body), timeout); },
          .encode_daemon = options_.encode_daemon,
          .encode_failover_lock = options_.encode_failover_lock,
-         .log = log_notable},
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 log(log_priority::notable, event, fields);
+             }},
         *directory_);
     if (!ok(registrar)) {
         return error_of(registrar);
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -43,11 +43,14 @@
 void gateway_engine::assign_daemons()
 {
     std::set<std::string> others;
+    std::vector<watcher_candidate> watcher_candidates;
     for (const auto& [name, entry] : directory_->daemons()) {
         if (name != options_.settings->name) {
             others.insert(name);
+            watcher_candidates.push_back(watcher_candidate{{.name = name, .data_center = entry->data_center}});
         }
     }
+    replica_->set_daemons(std::move(watcher_candidates));
     std::set<std::string> listed = others;
     listed.insert(options_.settings->name);
     std::map<std::string, std::uint32_t> limits;
@@ -87,6 +90,24 @@
     return best == targets.end() ? std::string{} : *best;
 }
 
+/// Tells the peer thread which daemons there are, and which of them to stay connected to.
+void gateway_engine::send_candidates()
+{
+    std::set<std::string> pinned = relay_directory_.pinned();
+    pinned.insert(replica_->followed().begin(), replica_->followed().end());
+    peer_candidates_fields candidates;
+    for (const auto& [name, entry] : directory_->daemons()) {
+        if (name == options_.settings->name || entry->peer_address.empty()) {
+            continue;
+        }
+        candidates.addresses.push_back(entry->peer_address);
+        if (pinned.contains(name)) {
+            candidates.pinned.push_back(entry->peer_address);
+        }
+    }
+    options_.send_peer_command(peer_candidates{std::move(candidates)});
+}
+
 void gateway_engine::announce_leave()
 {
     leaving_ = true;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -22,6 +22,7 @@
     std::vector<std::string> peers; ///< "ip:port" of the seed peers.
     std::string store;              ///< "ip:port" of the platform's store.
     std::string promotion_address;  ///< "ip:port" of the service that promotes members; empty: none.
+    bool first_start = false;       ///< The daemons of the whole system start for the first time.
     bool fences_enforced = true;    ///< The platform rejects a fencing token below one it has seen.
     duration drain_bound = std::chrono::seconds(7);        ///< A draining member must get no new work after this time.
     duration grace = std::chrono::seconds(6);              ///< From the termination signal until the process is killed.
--- a/src/leader/leader_monitor.cc
+++ b/src/leader/leader_monitor.cc
@@ -35,7 +35,7 @@
 
 void leader_monitor::tick(const std::set<std::string>& services, instant now)
 {
-    next_.reset();
+    search_due_.reset();
     check_probe_timeouts(now);
     for (const std::string& service : services) {
         const auto leader = hooks_.service(service).leadership.leader();
@@ -52,15 +52,27 @@
     const std::set<std::string> probed = probed_;
     for (const std::string& member : probed) {
         probe_state& state = probes_[member];
-        const instant due = std::max(state.sent_at, timeouts_start_) + probe_timeout;
-        if (now >= due) {
+        if (now >= timeout_of(state)) {
             fail_probe(member, state, now);
-        } else {
-            note_due(due);
         }
     }
 }
 
+instant leader_monitor::timeout_of(const probe_state& state) const
+{
+    return std::max(state.sent_at, timeouts_start_) + probe_timeout;
+}
+
+std::optional<instant> leader_monitor::next() const
+{
+    std::optional<instant> due = search_due_;
+    for (const std::string& member : probed_) {
+        const instant timeout = timeout_of(probes_.at(member));
+        due = due ? std::min(*due, timeout) : timeout;
+    }
+    return due;
+}
+
 void leader_monitor::fail_probe(const std::string& member, probe_state& state, instant now)
 {
     probed_.erase(member);
@@ -82,21 +94,27 @@
     }
     const auto answered_at = member->health.answered_at();
     const instant idle_at = answered_at ? *answered_at + max_idle_time : now;
-    instant due = idle_at;
+    std::optional<instant> overdue_at;
     if (const auto oldest = pool_.oldest_exchange_sent_at(leader)) {
         const instant unanswered_since = std::max(*oldest, timeouts_start_);
-        due = std::min(due, std::max(unanswered_since, answered_at.value_or(unanswered_since)) + slow_answer_time);
+        overdue_at = std::max(unanswered_since, answered_at.value_or(unanswered_since)) + slow_answer_time;
     }
     const service_state& state = hooks_.service(service);
     const bool lagging = std::any_of(state.replica_lags.begin(), state.replica_lags.end(),
                                      [](const auto& each) { return each.second.lag() > lagging_threshold; });
     const auto newest_position = state.primary_positions.newest();
-    due = std::min(due, newest_position ? *newest_position + (lagging ? lagging_probe_interval : max_idle_time) : now);
-    if (now >= due) {
+    const instant positions_old_at =
+        newest_position ? *newest_position + (lagging ? lagging_probe_interval : max_idle_time) : now;
+    if (now >= std::min({idle_at, positions_old_at, overdue_at.value_or(idle_at)})) {
         probe(service, leader, now);
-        due = now + retry_interval; // No connection may have been idle.
     }
-    note_due(due);
+    // Probes of an idle leader wait for the next tick, so that those of many services cause no ticks of their own.
+    if (overdue_at) {
+        note_due(std::max(*overdue_at, now + retry_interval));
+    }
+    if (lagging) {
+        note_due(std::max(positions_old_at, now + retry_interval));
+    }
 }
 
 void leader_monitor::search_leader(const std::string& service, instant now)
@@ -123,7 +141,6 @@
     state.sent_at = now;
     state.next = now + search_interval;
     probed_.insert(member);
-    note_due(now + probe_timeout);
     pool_.send_internal(
         connection, {begin_read_write{}},
         [this, service, member](const exchange_outcome& outcome, instant at) {
--- a/src/leader/leader_monitor.h
+++ b/src/leader/leader_monitor.h
@@ -37,8 +37,8 @@
     /// after the loss of a leader, and at least every 100 ms, because a new statement may become due for a probe.
     void tick(const std::set<std::string>& services, instant now);
 
-    /// When tick() has to be called next, as of its last call; nothing if no service is in use.
-    [[nodiscard]] std::optional<instant> next() const { return next_; }
+    /// When tick() has to be called next; nothing if no service is in use or only idle leaders are to be probed.
+    [[nodiscard]] std::optional<instant> next() const;
 
     /// Probes a member immediately, for instance because a peer reports that it leads. Without effect while a probe of
     /// the member is in flight or no connection to it is available.
@@ -66,15 +66,16 @@
     void search_leader(const std::string& service, instant now);
     void check_probe_timeouts(instant now);
     void fail_probe(const std::string& member, probe_state& state, instant now);
-    void note_due(instant due) { next_ = next_ ? std::min(*next_, due) : due; }
+    [[nodiscard]] instant timeout_of(const probe_state& state) const;
+    void note_due(instant due) { search_due_ = search_due_ ? std::min(*search_due_, due) : due; }
     void answered(const std::string& service, const std::string& member, const exchange_outcome& outcome, instant now);
 
     leader_monitor_hooks hooks_;
     member_pool& pool_;
     std::map<std::string, probe_state> probes_; ///< By member.
     std::set<std::string> probed_;              ///< Members with a probe in flight.
-    std::optional<instant> next_;
-    instant timeouts_start_{}; ///< Timeouts count from here at the earliest; set after a stall of the process.
+    std::optional<instant> search_due_; ///< Next check of a leader that is searched for, overdue or ahead of replicas.
+    instant timeouts_start_{};          ///< Timeouts count from here at the earliest; set after a stall of the process.
 };
 
 } // namespace citronfall
--- a/src/mirror/mirror_gossip.h
+++ b/src/mirror/mirror_gossip.h
@@ -4,8 +4,11 @@
 #include "citronfall/peer_message.h"
 #include "mirror/store_mirror.h"
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,30 +18,30 @@
 struct mirror_gossip_options {
     std::vector<store_mirror*> mirrors;                                ///< In the same order on all daemons.
     std::function<void(const std::string&, const peer_message&)> send; ///< Sends to one peer.
-    std::function<std::uint64_t(std::uint64_t)> random;                ///< Random number below its argument.
-    std::function<void(const std::string&, const std::string&)> log;   ///< Event name, fields.
+    /// Chooses the recipients of a digest among the connected peers.
+    std::function<std::vector<std::string>(const std::set<std::string>&)> recipients;
+    std::function<void(const std::string&, const std::string&)> log; ///< Event name, fields.
 };
 
-/// Exchanges changes to the store between daemons, so that a daemon that cannot reach the store still receives them.
+/// Exchanges changes to the store between daemons, so that a daemon that does not watch the store, or cannot reach it,
+/// receives them.
 ///
-/// Each second a daemon sends some of its peers a digest of the revisions that it holds. A peer that is behind requests
-/// what it is missing: at once if it cannot reach the store, otherwise once its own watch has had time to deliver the
-/// changes. Not thread-safe: owned by the decision thread.
+/// Each second a daemon sends some of its peers a digest of its copies. A peer that is behind requests what it is
+/// missing: at once if it does not watch the store, otherwise once its own watch has had time to deliver the changes.
+/// The digests also tell how long ago a copy was last known to be up to date. Not thread-safe: owned by the decision
+/// thread.
 class mirror_gossip {
 public:
     explicit mirror_gossip(mirror_gossip_options options) : options_(std::move(options)) {}
 
-    /// Sends digests when due. Call it when next() is reached.
+    /// Sends digests when due. Call it every few tenths of a second.
     void tick(instant now);
 
-    /// When tick() has to be called next.
-    [[nodiscard]] instant next() const { return next_digest_; }
-
     /// Makes the next digest due immediately, after a change that all daemons should receive soon.
     void announce() { next_digest_ = {}; }
 
     /// Reports that a peer connected.
-    void connected(const std::string& peer);
+    void connected(const std::string& peer, instant now);
 
     /// Reports that the connection to a peer was lost.
     void disconnected(const std::string& peer) { peers_.erase(peer); }
@@ -47,12 +50,24 @@
     void handle(const std::string& peer, const store_request& request);
     void handle(const std::string& peer, const store_changes& changes, instant now);
 
-    /// Whether any connected peer reports that it reaches the store.
-    [[nodiscard]] bool peer_reaches_store() const;
+    /// When the copies were last known to be up to date, by a watch of this daemon or of a peer; nothing if they never
+    /// were.
+    [[nodiscard]] std::optional<instant> current_at(instant now) const;
+
+    /// As current_at(), but without the watches of this daemon.
+    [[nodiscard]] std::optional<instant> confirmed_at() const { return confirmed_at_; }
+
+    /// Latest era that a copy or a peer's digest states.
+    [[nodiscard]] store_era era() const;
+
+    /// When a call to the store last failed, of this daemon or, as far as known, of a peer that watches the store.
+    [[nodiscard]] std::optional<instant> store_failed_at() const;
 
 private:
-    struct peer_state {
-        bool store_live = false;
+    /// State of a peer's copies that was up to date at some time.
+    struct current_copy {
+        instant at{};
+        std::vector<store_revision> complete_to; ///< By range.
     };
 
     /// A revision of a range that a peer has and this daemon lacks.
@@ -61,11 +76,20 @@
         instant since{};
     };
 
-    [[nodiscard]] store_digest digest() const;
+    [[nodiscard]] store_digest digest(instant now) const;
+    [[nodiscard]] bool live() const;
+    void compare(const std::string& peer, std::size_t range, const range_digest& offered, instant now);
+    void note_current_copy(const store_digest& digest, instant now);
+    void confirm_copies();
+    void note_missed(const std::string& peer, std::size_t range, const store_revision& offered, instant now);
 
     mirror_gossip_options options_;
-    std::map<std::string, peer_state> peers_;
+    std::set<std::string> peers_;
     std::map<std::size_t, missed_change> missed_; ///< By range.
+    std::deque<current_copy> current_copies_;     ///< Of peers, newest last, that this daemon has not caught up with.
+    std::optional<instant> confirmed_at_;         ///< Latest time for which a peer confirmed the copies.
+    store_era peer_era_ = 0;
+    std::optional<instant> peer_failed_at_; ///< Latest failure of the store that a peer reported.
     instant next_digest_{};
 };
 
--- a/src/mirror/mirror_table.cc
+++ b/src/mirror/mirror_table.cc
@@ -11,11 +11,38 @@
 /// Number of deletions kept for peers that were disconnected; a peer that missed more gets all items.
 constexpr std::size_t max_deletions = 256;
 
+/// Digest of one item. It must be the same on all daemons.
+std::uint64_t digest_of(const store_item& item)
+{
+    std::uint64_t hash = 14695981039346656037ULL ^ item->revision;
+    for (const char c : item->key) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    }
+    hash ^= hash >> 33U;
+    hash *= 0xff51afd7ed558ccdULL;
+    return hash ^ (hash >> 33U);
+}
+
 } // namespace
 
-void mirror_table::apply(const store_item& item, store_era era)
+void mirror_table::apply_changes(const std::vector<store_item>& items, const store_revision& at)
+{
+    assert(at.era == era());
+    for (const store_item& each : items) {
+        apply(each);
+    }
+    complete_to_.revision = std::max(complete_to_.revision, at.revision);
+}
+
+void mirror_table::confirm(const store_revision& at)
+{
+    if (at.era == era()) {
+        complete_to_.revision = std::max(complete_to_.revision, at.revision);
+    }
+}
+
+void mirror_table::apply(const store_item& item)
 {
-    assert(era == changed_at_.era);
     const auto held = items_.find(item->key);
     if (held != items_.end() && held->second->revision >= item->revision) {
         return;
@@ -32,11 +59,26 @@
         if (held == items_.end()) {
             return;
         }
-        items_.erase(held);
+        erase(item->key);
     } else {
-        items_[item->key] = item;
+        store(item);
+    }
+    changed_(item, era());
+}
+
+void mirror_table::store(const store_item& item)
+{
+    erase(item->key);
+    items_.emplace(item->key, item);
+    contents_ ^= digest_of(item);
+}
+
+void mirror_table::erase(const std::string& key)
+{
+    if (const auto held = items_.find(key); held != items_.end()) {
+        contents_ ^= digest_of(held->second);
+        items_.erase(held);
     }
-    changed_(item, era);
 }
 
 void mirror_table::remember_deletion(const store_item& item)
@@ -50,28 +92,32 @@
 
 void mirror_table::apply_snapshot(const std::vector<store_item>& items, const store_revision& at)
 {
-    if (at.era != changed_at_.era) {
-        if (at.era > changed_at_.era) {
-            replace_all(items, at);
-        }
+    if (at.era < era()) {
         return;
     }
-    std::set<std::string> present;
-    for (const store_item& each : items) {
-        present.insert(each->key);
-    }
-    std::vector<store_item> missing;
-    for (const auto& [key, held] : items_) {
-        if (!present.contains(key) && held->revision <= at.revision) {
-            missing.push_back(store_item{{.key = key, .revision = at.revision, .deleted = true}});
+    if (at.era > era()) {
+        replace_all(items, at);
+    } else {
+        std::set<std::string> present;
+        for (const store_item& each : items) {
+            present.insert(each->key);
+        }
+        std::vector<store_item> missing;
+        for (const auto& [key, held] : items_) {
+            if (!present.contains(key) && held->revision <= at.revision) {
+                missing.push_back(store_item{{.key = key, .revision = at.revision, .deleted = true}});
+            }
+        }
+        for (const store_item& each : missing) {
+            apply(each);
+        }
+        for (const store_item& each : items) {
+            apply(each);
         }
     }
-    for (const store_item& each : missing) {
-        apply(each, at.era);
-    }
-    for (const store_item& each : items) {
-        apply(each, at.era);
-    }
+    // Items that were deleted before the snapshot, and that this copy never had, are not among the known deletions.
+    deletions_dropped_until_ = std::max(deletions_dropped_until_, at.revision);
+    complete_to_.revision = std::max(complete_to_.revision, at.revision);
 }
 
 /// Starts a new era: its items replace all others whatever their revisions are.
@@ -80,7 +126,9 @@
     const std::map<std::string, store_item> former = std::exchange(items_, {});
     deletions_.clear();
     deletions_dropped_until_ = 0;
+    contents_ = 0;
     changed_at_ = {.era = at.era, .revision = 0};
+    complete_to_ = {.era = at.era, .revision = 0};
     std::set<std::string> present;
     for (const store_item& each : items) {
         present.insert(each->key);
@@ -91,7 +139,7 @@
         }
     }
     for (const store_item& each : items) {
-        apply(each, at.era);
+        apply(each);
     }
 }
 
--- a/src/mirror/store_call.h
+++ b/src/mirror/store_call.h
@@ -17,6 +17,7 @@
 struct read_range_fields {
     std::string prefix;
     std::string after_key; ///< The page starts after this key; empty: the first page.
+    bool stale = false;    ///< The page may be seconds old, at a lower cost.
 
     friend auto operator<=>(const read_range_fields&, const read_range_fields&) = default;
 };
--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -3,6 +3,7 @@
 #include "chart/embedded_program.h"
 
 #include <algorithm>
+#include <cassert>
 #include <iterator>
 #include <utility>
 
@@ -19,6 +20,10 @@
 /// Added to the long-poll time of a watch for its timeout.
 constexpr duration watch_timeout_allowance = std::chrono::milliseconds(1500);
 
+/// Long-poll time of a watch while it is not known whether the store answers: peers that follow this daemon rely on it
+/// once it does.
+constexpr duration first_watch_wait = std::chrono::milliseconds(1);
+
 /// Initial backoff after a failed call, short to recover quickly from a lost answer or connection.
 constexpr duration initial_backoff = std::chrono::milliseconds(250);
 
@@ -58,16 +63,24 @@
 
 chart_bindings<store_mirror::context> store_mirror::bindings()
 {
-    return {.events = {"due", "page_read", "changed", "history_gone", "restored", "failed"},
+    return {.events = {"due", "page_read", "changed", "history_gone", "restored", "failed", "hung"},
             .guards = {{"more_pages",
                         [](const context& each) {
                             return (*each.answer)->more_pages && !(*each.answer)->items.empty();
+                        }},
+                       {"watches",
+                        [](const context& each) {
+                            return each.mirror.options_.watches();
+                        }},
+                       {"follows_a_copy", // A peer has already sent the contents.
+                        [](const context& each) {
+                            const store_mirror& mirror = each.mirror;
+                            return !mirror.options_.watches() && mirror.table_.complete_to() != store_revision{};
                         }}},
             .actions = {
                 {"start_snapshot",
                  [](context& each) {
-                     each.mirror.page_items_.clear();
-                     each.mirror.snapshot_at_ = {};
+                     each.mirror.start_reading();
                  }},
                 {"read_page",
                  [](context& each) {
@@ -79,41 +92,42 @@
                  }},
                 {"apply_snapshot",
                  [](context& each) {
-                     store_mirror& mirror = each.mirror;
-                     mirror.table_.apply_snapshot(std::exchange(mirror.page_items_, {}), mirror.snapshot_at_);
-                     mirror.watched_to_ = mirror.snapshot_at_;
-                     mirror.options_.log("store_range_read", "prefix=" + mirror.options_.prefix + " items=" +
-                                                                 std::to_string(mirror.table_.items().size()) +
-                                                                 " revision=" + to_text(mirror.snapshot_at_));
+                     each.mirror.apply_pages();
                  }},
                 {"apply_changes",
                  [](context& each) {
-                     store_mirror& mirror = each.mirror;
-                     for (const store_item& item : (*each.answer)->items) {
-                         mirror.table_.apply(item, mirror.watched_to_.era);
-                     }
-                     mirror.watched_to_.revision = std::max(mirror.watched_to_.revision, (*each.answer)->revision);
+                     each.mirror.apply_events(*each.answer);
                  }},
                 {"pause_shortly",
                  [](context& each) {
-                     each.mirror.next_attempt_ = each.now + each.mirror.options_.batch_delay();
+                     each.mirror.next_attempt_ = each.now + each.mirror.options_.batch_delay;
                  }},
                 {"start_watch",
                  [](context& each) {
                      each.mirror.start_watch();
                  }},
+                {"follow",
+                 [](context& each) {
+                     each.mirror.live_ = false;
+                     each.mirror.next_attempt_ = each.now;
+                 }},
+                {"drop_call",
+                 [](context& each) {
+                     each.mirror.pending_call_ = 0;
+                     each.mirror.options_.log("watch_abandoned", "prefix=" + each.mirror.options_.prefix);
+                 }},
                 {"note_gap",
                  [](context& each) {
                      each.mirror.options_.log("store_history_gone", "prefix=" + each.mirror.options_.prefix +
-                                                                        " after=" + to_text(each.mirror.watched_to_));
+                                                                        " after=" + to_text(each.mirror.watched_from_));
                  }},
                 {"note_restored",
                  [](context& each) {
                      store_mirror& mirror = each.mirror;
                      mirror.failed_at_ = each.now;
                      mirror.pending_call_ = 0; // A call of the former era tells nothing more.
-                     mirror.options_.log("store_restored",
-                                         "prefix=" + mirror.options_.prefix + " after=" + to_text(mirror.watched_to_));
+                     mirror.options_.log("store_restored", "prefix=" + mirror.options_.prefix +
+                                                               " after=" + to_text(mirror.table_.complete_to()));
                  }},
                 {"note_failure",
                  [](context& each) {
@@ -130,11 +144,22 @@
 
 void store_mirror::tick(instant now)
 {
-    if (pending_call_ == 0 && now >= next_attempt_) {
+    if (const auto due = next(); due && now >= *due) {
         fire(event::due, nullptr, now);
     }
 }
 
+std::optional<instant> store_mirror::next() const
+{
+    const bool waits_for_peers = following() && !options_.watches();
+    return pending_call_ != 0 || waits_for_peers ? std::nullopt : std::optional(next_attempt_);
+}
+
+bool store_mirror::following() const
+{
+    return program_->state_name(state_) == "following";
+}
+
 store_mirror::event store_mirror::event_of(const store_answer& answer) const
 {
     if (answer->outcome == call_outcome::history_gone) {
@@ -143,11 +168,13 @@
     if (answer->outcome != call_outcome::done || era_of(answer) < known_era()) {
         return event::failed;
     }
-    const store_revision& continued = program_->handles(state_, event::page_read) ? snapshot_at_ : watched_to_;
-    if (continued != store_revision{} && era_of(answer) != continued.era) {
+    const bool reading = program_->handles(state_, event::page_read);
+    const bool first_page = reading && page_items_.empty();
+    const store_era continued = reading ? snapshot_at_.era : watched_from_.era;
+    if (!first_page && era_of(answer) != continued) {
         return event::restored;
     }
-    return program_->handles(state_, event::page_read) ? event::page_read : event::changed;
+    return reading ? event::page_read : event::changed;
 }
 
 bool store_mirror::handle(const store_answer& answer, instant now)
@@ -172,7 +199,7 @@
 /// The latest era that the mirror has read or received from a peer.
 store_era store_mirror::known_era() const
 {
-    return std::max(table_.era(), watched_to_.era);
+    return table_.era();
 }
 
 /// Era of an answer. One that states none counts as current, as a store without eras sends no other.
@@ -183,47 +210,83 @@
 
 void store_mirror::apply_peer_changes(const store_changes& changes, instant now)
 {
-    if (changes->at.era == table_.era()) {
-        for (const store_item& each : changes->items) {
-            table_.apply(each, changes->at.era);
-        }
-    } else if (changes->at.era > table_.era() && changes->complete) {
-        std::vector<store_item> present;
-        std::copy_if(changes->items.begin(), changes->items.end(), std::back_inserter(present),
-                     [](const store_item& each) { return !each->deleted; });
-        table_.apply_snapshot(present, changes->at);
+    const bool later = changes->at.era > table_.era();
+    if (changes->at.era < table_.era() || (later && !changes->complete)) {
+        return;
+    }
+    if (!changes->complete) {
+        table_.apply_changes(changes->items, changes->at);
+        return;
+    }
+    std::vector<store_item> present;
+    std::copy_if(changes->items.begin(), changes->items.end(), std::back_inserter(present),
+                 [](const store_item& each) { return !each->deleted; });
+    table_.apply_snapshot(present, changes->at);
+    if (later) {
         note_era(changes->at.era, now);
     }
 }
 
 void store_mirror::note_era(store_era era, instant now)
 {
-    // A read in progress compares the eras of its own pages.
+    // A read in progress compares the eras of its own pages, and a daemon that follows gets the contents from a peer.
     const bool reading = program_->handles(state_, event::page_read);
-    if (!reading && era > watched_to_.era && watched_to_ != store_revision{}) {
+    if (!reading && !following() && watched_from_ != store_revision{} && era > watched_from_.era) {
         fire(event::restored, nullptr, now);
     }
 }
 
+void store_mirror::abandon_watch(instant now)
+{
+    fire(event::hung, nullptr, now);
+}
+
+void store_mirror::start_reading()
+{
+    page_items_.clear();
+    snapshot_at_ = {};
+}
+
 void store_mirror::read_page()
 {
     const std::string after = page_items_.empty() ? std::string{} : page_items_.back()->key;
-    pending_call_ = options_.call(read_range{{.prefix = options_.prefix, .after_key = after}}, read_timeout_);
+    pending_call_ = options_.call(read_range{{.prefix = options_.prefix, .after_key = after, .stale = reads_stale_}},
+                                  read_timeout_);
 }
 
+/// Pages are read one after the other, and stale ones may be of any order: all are complete up to the lowest revision.
 void store_mirror::add_page(const store_answer& page)
 {
-    if (snapshot_at_ == store_revision{}) {
-        snapshot_at_ = {.era = era_of(page), .revision = page->revision};
-    }
+    const bool first = page_items_.empty();
+    snapshot_at_ = {.era = era_of(page),
+                    .revision = first ? page->revision : std::min(snapshot_at_.revision, page->revision)};
     page_items_.insert(page_items_.end(), page->items.begin(), page->items.end());
 }
 
+void store_mirror::apply_pages()
+{
+    table_.apply_snapshot(std::exchange(page_items_, {}), snapshot_at_);
+    reads_stale_ = false;
+    options_.log("store_range_read", "prefix=" + options_.prefix + " items=" + std::to_string(table_.items().size()) +
+                                         " revision=" + to_text(snapshot_at_));
+}
+
+void store_mirror::apply_events(const store_answer& answer)
+{
+    const store_revision at{.era = watched_from_.era, .revision = answer->revision};
+    if (at.era == table_.era()) {
+        table_.apply_changes(answer->items, at);
+    }
+}
+
 void store_mirror::start_watch()
 {
-    pending_call_ = options_.call(
-        watch_range{{.prefix = options_.prefix, .after = watched_to_.revision, .wait = options_.watch_wait}},
-        options_.watch_wait + watch_timeout_allowance);
+    assert(table_.complete_to() != store_revision{});
+    watched_from_ = table_.complete_to();
+    const duration wait = live_ ? options_.watch_wait : first_watch_wait;
+    pending_call_ =
+        options_.call(watch_range{{.prefix = options_.prefix, .after = watched_from_.revision, .wait = wait}},
+                      wait + watch_timeout_allowance);
 }
 
 void store_mirror::note_failure(const store_answer& answer, instant now)
@@ -235,7 +298,7 @@
     live_ = false;
     failed_at_ = now;
     read_timeout_ = std::min(read_timeout_ * 2, max_read_timeout);
-    next_attempt_ = now + (watched_to_ == store_revision{} ? initial_read_backoff : backoff_.next_delay());
+    next_attempt_ = now + (table_.complete_to() == store_revision{} ? initial_read_backoff : backoff_.next_delay());
 }
 
 } // namespace citronfall
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -22,17 +22,20 @@
 /// Settings and hooks of a mirror. The hooks are called on the decision thread.
 struct store_mirror_options {
     std::string prefix;
-    duration watch_wait{};                 ///< Long-poll time of a watch.
-    std::function<duration()> batch_delay; ///< Delay before the next watch, to batch changes into one answer.
+    duration watch_wait{};         ///< Long-poll time of a watch.
+    duration batch_delay{};        ///< Delay before the next watch, to batch changes into one answer.
+    std::function<bool()> watches; ///< Whether this daemon watches the store, rather than follow peers that do.
     std::function<call_number(call_body, duration timeout)> call;
     mirror_table::changed_hook changed;
     std::function<void(const std::string&, const std::string&)> log; ///< Event name, fields.
 };
 
-/// Maintains a copy of one prefix of the store by reading it once and then watching it (chart `store_mirror`).
+/// Maintains a copy of one prefix of the store by reading it once and then watching it, or following peers that watch
+/// it (chart `store_mirror`).
 ///
-/// If the store has compacted the revisions to watch from, or was restored from a copy, the whole prefix is read again.
-/// Not thread-safe: owned by the decision thread.
+/// If the store has compacted the revisions to watch from, or was restored from a copy, a daemon that watches reads the
+/// whole prefix again; one that follows gets it from a peer. The first read may be stale: a watch or a peer tells what
+/// it missed. Not thread-safe: owned by the decision thread.
 class store_mirror {
 public:
     /// Error (bad_request): the chart does not match the bindings.
@@ -41,11 +44,8 @@
     /// Starts a read or a watch when due. Call it when next() is reached.
     void tick(instant now);
 
-    /// When tick() has to be called next; nothing while a call is in flight.
-    [[nodiscard]] std::optional<instant> next() const
-    {
-        return pending_call_ == 0 ? std::optional(next_attempt_) : std::nullopt;
-    }
+    /// When tick() has to be called next; nothing while a call is in flight or the daemon follows peers.
+    [[nodiscard]] std::optional<instant> next() const;
 
     /// Handles an answer of the platform. Returns false, without effect, if the call was not made by this object.
     bool handle(const store_answer& answer, instant now);
@@ -53,13 +53,20 @@
     /// Applies changes received from a peer; those of an earlier era have no effect.
     void apply_peer_changes(const store_changes& changes, instant now);
 
-    /// Reports the era of any answer of the store. If it is later than that of the copy, the prefix is read again.
+    /// Reports the era of any answer of the store. If it is later than that of the copy, a daemon that watches reads
+    /// the prefix again.
     void note_era(store_era era, instant now);
 
+    /// Reports that a peer's copy with the same contents is complete up to `at`.
+    void confirm(const store_revision& at) { table_.confirm(at); }
+
+    /// Ends a watch that has not told of a change that a peer knows: its answer was lost.
+    void abandon_watch(instant now);
+
     /// The copied items.
     [[nodiscard]] const mirror_table& table() const { return table_; }
 
-    /// Whether the last call succeeded and the initial read is complete.
+    /// Whether the last call succeeded, the initial read is complete and the daemon watches the store.
     [[nodiscard]] bool live() const { return live_; }
 
     /// When a call last failed or the store was last found to be restored; empty if neither happened.
@@ -68,7 +75,7 @@
     [[nodiscard]] const std::string& prefix() const { return options_.prefix; }
 
 private:
-    enum class event : std::uint8_t { due, page_read, changed, history_gone, restored, failed };
+    enum class event : std::uint8_t { due, page_read, changed, history_gone, restored, failed, hung };
     struct context {
         store_mirror& mirror;
         const store_answer* answer = nullptr;
@@ -87,6 +94,10 @@
     [[nodiscard]] event event_of(const store_answer& answer) const;
     [[nodiscard]] store_era known_era() const;
     [[nodiscard]] store_era era_of(const store_answer& answer) const;
+    [[nodiscard]] bool following() const;
+    void start_reading();
+    void apply_pages();
+    void apply_events(const store_answer& answer);
 
     store_mirror_options options_;
     duration read_timeout_; ///< Timeout of the next page read.
@@ -97,8 +108,9 @@
     call_number pending_call_ = 0;
     instant next_attempt_{};
     std::vector<store_item> page_items_;
-    store_revision snapshot_at_; ///< Of the first page; the watch starts after it.
-    store_revision watched_to_;  ///< The watch continues after it.
+    store_revision snapshot_at_;  ///< Revision up to which the pages are complete.
+    store_revision watched_from_; ///< The watch in flight, or the last one, started after it.
+    bool reads_stale_ = true;     ///< The next read may be stale.
     bool live_ = false;
     std::optional<instant> failed_at_;
 };
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -3,6 +3,7 @@
 #include "peer/relay_codec.h"
 #include "peer_generated.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -14,6 +15,9 @@
 
 using builder = flatbuffers::FlatBufferBuilder;
 
+/// Stands for an unknown age; the default of the field.
+constexpr std::uint32_t no_age = 0xFFFFFFFF;
+
 struct encoded_body {
     wire::body type = wire::body::NONE;
     flatbuffers::Offset<void> offset;
@@ -28,11 +32,29 @@
     return list;
 }
 
+std::uint32_t whole_ms(duration value)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, no_age));
+}
+
+/// An age in milliseconds; no_age if it is unknown or too long for the field.
+std::uint32_t to_wire(const std::optional<duration>& age)
+{
+    return age ? whole_ms(*age) : no_age;
+}
+
+std::optional<duration> read_age(std::uint32_t age)
+{
+    return age == no_age ? std::nullopt : std::optional<duration>(std::chrono::milliseconds(age));
+}
+
 encoded_body encode_body(builder& out, const peer_hello& value)
 {
-    return {wire::body::hello, wire::CreatehelloDirect(out, value->daemon.c_str(), value->region.c_str(),
-                                                       value->data_center.c_str(), value->incarnation)
-                                   .Union()};
+    return {wire::body::hello,
+            wire::CreatehelloDirect(out, value->daemon.c_str(), value->region.c_str(), value->data_center.c_str(),
+                                    value->incarnation, whole_ms(value->receive_timeout))
+                .Union()};
 }
 
 encoded_body encode_body(builder& out, const peer_digest& value)
@@ -94,14 +116,22 @@
 
 encoded_body encode_body(builder& out, const store_digest& value)
 {
-    std::vector<std::uint64_t> revisions;
+    std::vector<std::uint64_t> changed_at;
     std::vector<std::uint64_t> eras;
-    for (const store_revision& each : value->changed_at) {
-        revisions.push_back(each.revision);
-        eras.push_back(each.era);
+    std::vector<std::uint64_t> complete_to;
+    std::vector<std::uint64_t> contents;
+    for (const range_digest& each : value->ranges) {
+        changed_at.push_back(each->changed_at.revision);
+        eras.push_back(each->changed_at.era);
+        if (each->contents) {
+            complete_to.push_back(each->complete_to.revision);
+            contents.push_back(*each->contents);
+        }
     }
     return {wire::body::store_digest,
-            wire::Createstore_digestDirect(out, &revisions, value->store_live, &eras).Union()};
+            wire::Createstore_digestDirect(out, &changed_at, value->store_live, &eras, &complete_to, &contents,
+                                           to_wire(value->current_age), to_wire(value->store_failure_age))
+                .Union()};
 }
 
 encoded_body encode_body(builder& out, const store_request& value)
@@ -215,12 +245,19 @@
 
 peer_message read_store_digest(const wire::store_digest& source)
 {
-    store_digest_fields fields{.store_live = source.store_live()};
-    for (flatbuffers::uoffset_t i = 0; source.changed_at() != nullptr && i < source.changed_at()->size(); ++i) {
-        // Daemons of releases without eras send none.
-        const bool has_era = source.eras() != nullptr && i < source.eras()->size();
-        fields.changed_at.push_back(
-            {.era = has_era ? source.eras()->Get(i) : 0, .revision = source.changed_at()->Get(i)});
+    store_digest_fields fields{.store_live = source.store_live(),
+                               .current_age = read_age(source.current_age_ms()),
+                               .store_failure_age = read_age(source.store_failure_age_ms())};
+    // Earlier releases send no eras, or neither completeness nor contents.
+    const auto entry = [](const flatbuffers::Vector<std::uint64_t>* list, flatbuffers::uoffset_t at) {
+        return list != nullptr && at < list->size() ? std::optional(list->Get(at)) : std::nullopt;
+    };
+    for (flatbuffers::uoffset_t i = 0; const auto changed_at = entry(source.changed_at(), i); ++i) {
+        const store_era era = entry(source.eras(), i).value_or(0);
+        fields.ranges.push_back(
+            range_digest{{.changed_at = {.era = era, .revision = *changed_at},
+                          .complete_to = {.era = era, .revision = entry(source.complete_to(), i).value_or(0)},
+                          .contents = entry(source.contents(), i)}});
     }
     return store_digest{std::move(fields)};
 }
@@ -247,7 +284,8 @@
     return peer_hello{{.daemon = text(source.daemon()),
                        .region = text(source.region()),
                        .data_center = text(source.data_center()),
-                       .incarnation = source.incarnation()}};
+                       .incarnation = source.incarnation(),
+                       .receive_timeout = std::chrono::milliseconds(source.receive_timeout_ms())}};
 }
 
 std::optional<peer_message> read_body(const wire::peer_message& source)
--- a/src/registration/daemon_registrar.cc
+++ b/src/registration/daemon_registrar.cc
@@ -8,13 +8,20 @@
 namespace citronfall {
 namespace {
 
-/// Time to live of the lease. A shorter one would lose the locks whenever the process stalls briefly; a longer one
-/// would prolong the time after the failure of a lock's holder in which no daemon may change the primary.
-constexpr duration lease_time_to_live = std::chrono::seconds(3);
+/// Time to live of the lease of the locks. A shorter one would lose the locks whenever the process stalls briefly; a
+/// longer one would prolong the time after the failure of a lock's holder in which no daemon may change the primary.
+constexpr duration lock_time_to_live = std::chrono::seconds(3);
+
+/// Time to live of the registration. It outlasts a short outage of the store and a restart of the process, so that
+/// these change no assignment; peers notice the loss of a daemon by its connections.
+constexpr duration registration_time_to_live = std::chrono::seconds(10);
 
 /// Additional delay per position before a daemon claims a free lock: several round trips to a slow store.
 constexpr duration claim_delay_per_position = std::chrono::milliseconds(300);
 
+/// Time until a registration that was written is listed here, by a watch or by a peer.
+constexpr duration listing_time = std::chrono::seconds(5);
+
 /// Timeout of one write of a key.
 constexpr duration write_timeout = std::chrono::milliseconds(1000);
 
@@ -27,12 +34,15 @@
                                                                  const service_directory& directory)
 {
     std::unique_ptr<daemon_registrar> made(new daemon_registrar(std::move(options), directory));
-    auto lease = lease_client::make(
-        {.time_to_live = lease_time_to_live, .call = made->options_.call, .log = made->options_.log});
-    if (!ok(lease)) {
-        return error_of(lease);
+    for (const auto& [lease, time_to_live] : {std::pair(&made->registration_lease_, registration_time_to_live),
+                                              std::pair(&made->lock_lease_, lock_time_to_live)}) {
+        auto client =
+            lease_client::make({.time_to_live = time_to_live, .call = made->options_.call, .log = made->options_.log});
+        if (!ok(client)) {
+            return error_of(client);
+        }
+        *lease = take(std::move(client));
     }
-    made->lease_ = take(std::move(lease));
     return made;
 }
 
@@ -41,8 +51,11 @@
     if (deregistered_) {
         return;
     }
-    lease_->tick(now);
-    if (lease_->lease() == 0) {
+    registration_lease_->tick(now);
+    if (claims_locks_) {
+        lock_lease_->tick(now);
+    }
+    if (registration_lease_->lease() == 0) {
         return;
     }
     register_self(now);
@@ -51,56 +64,35 @@
     }
 }
 
-std::optional<instant> daemon_registrar::next() const
-{
-    if (deregistered_) {
-        return std::nullopt;
-    }
-    std::optional<instant> due = lease_->next();
-    const auto add = [&due](instant other) {
-        due = due ? std::min(*due, other) : other;
-    };
-    if (lease_->lease() == 0) {
-        return due;
-    }
-    if (!registered()) {
-        const auto attempt = next_attempts_.find(own_key());
-        add(attempt == next_attempts_.end() ? instant{} : attempt->second);
-    }
-    if (claims_due_) {
-        add(*claims_due_);
-    }
-    return due;
-}
-
 std::string daemon_registrar::own_key() const
 {
     return options_.keys.daemons + options_.self->name;
 }
 
-/// Whether this run of the daemon is listed, with its present lease.
-bool daemon_registrar::registered() const
+/// Whether this run of the daemon is registered with its present lease. Its entry may be listed here only later.
+bool daemon_registrar::registered(instant now) const
 {
     const auto found = directory_.daemons().find(options_.self->name);
     const bool listed = found != directory_.daemons().end() && found->second == options_.self;
-    return listed && registered_with_ == lease_->lease();
+    const bool written = registered_with_ == registration_lease_->lease();
+    return written && (listed || now - registered_at_ < listing_time);
 }
 
 void daemon_registrar::register_self(instant now)
 {
-    if (registered()) {
+    if (registered(now)) {
         return;
     }
     const std::string key = own_key();
     if (now >= next_attempts_[key]) {
         // No condition on the revision: only this daemon writes its own entry.
         next_attempts_[key] = now + min_write_interval;
-        const call_number number = options_.call(
-            change_items{
-                {.writes = {store_item{
-                     {.key = key, .value = options_.encode_daemon(options_.self), .lease = lease_->lease()}}}}},
-            write_timeout);
-        pending_writes_[number] = {.key = key, .lease = lease_->lease()};
+        const call_number number =
+            options_.call(change_items{{.writes = {store_item{{.key = key,
+                                                               .value = options_.encode_daemon(options_.self),
+                                                               .lease = registration_lease_->lease()}}}}},
+                          write_timeout);
+        pending_writes_[number] = {.key = key, .lease = registration_lease_->lease()};
     }
 }
 
@@ -108,7 +100,7 @@
 bool daemon_registrar::is_own(const failover_lock& lock) const
 {
     return lock->holder == options_.self->name && lock->incarnation == options_.self->incarnation &&
-           lock->lease == lease_->lease() && lock->acquired_at.era == lease_->era();
+           lock->lease == lock_lease_->lease() && lock->acquired_at.era == lock_lease_->era();
 }
 
 void daemon_registrar::claim_failover_locks(instant now)
@@ -137,7 +129,7 @@
         return std::nullopt;
     }
     const bool free = held == directory_.failover_locks().end();
-    if (!free && held->second->acquired_at.era != lease_->era()) {
+    if (!free && held->second->acquired_at.era != registration_lease_->era()) {
         return std::nullopt; // The present revision is not known before the restored store has been read.
     }
     // Free, or held by an earlier run or lease of this daemon, from which it takes the lock over with a higher fencing
@@ -147,6 +139,10 @@
     if (free && now < turn) {
         return turn;
     }
+    claims_locks_ = true;
+    if (lock_lease_->lease() == 0) {
+        return std::nullopt; // Its grant makes the claim due.
+    }
     const std::string key = options_.keys.failover_locks + service;
     const failover_lock wanted{
         {.service = service, .holder = options_.self->name, .incarnation = options_.self->incarnation}};
@@ -160,16 +156,16 @@
         return;
     }
     next_attempts_[key] = now + min_write_interval;
-    const call_number number =
-        options_.call(change_items{{.expected = {expected_revision{{.key = key, .revision = expected}}},
-                                    .writes = {store_item{{.key = key, .value = value, .lease = lease_->lease()}}}}},
-                      write_timeout);
-    pending_writes_[number] = {.key = key, .lease = lease_->lease()};
+    const call_number number = options_.call(
+        change_items{{.expected = {expected_revision{{.key = key, .revision = expected}}},
+                      .writes = {store_item{{.key = key, .value = value, .lease = lock_lease_->lease()}}}}},
+        write_timeout);
+    pending_writes_[number] = {.key = key, .lease = lock_lease_->lease()};
 }
 
 bool daemon_registrar::handle(const store_answer& answer, instant now)
 {
-    if (lease_->handle(answer, now)) {
+    if (registration_lease_->handle(answer, now) || lock_lease_->handle(answer, now)) {
         claims_due_ = now; // The lease may be new, and its locks with it.
         return true;
     }
@@ -183,14 +179,22 @@
                                     " revision=" + std::to_string(answer->revision));
     if (answer->outcome == call_outcome::done && written.key == own_key()) {
         registered_with_ = written.lease;
+        registered_at_ = now;
     }
     return true;
 }
 
+void daemon_registrar::note_era(store_era era, instant now)
+{
+    registration_lease_->note_era(era, now);
+    lock_lease_->note_era(era, now);
+}
+
 void daemon_registrar::leave(instant now)
 {
     deregistered_ = true;
-    lease_->leave(now);
+    lock_lease_->leave(now);
+    registration_lease_->leave(now);
 }
 
 std::optional<std::uint64_t> daemon_registrar::fence(const std::string& service, instant now) const
@@ -203,7 +207,7 @@
     if (refused != refused_fences_.end() && refused->second >= fencing_token(held->second->acquired_at)) {
         return std::nullopt;
     }
-    if (!lease_->valid(now) && !options_.fences_enforced) {
+    if (!lock_lease_->valid(now) && !options_.fences_enforced) {
         return std::nullopt;
     }
     return fencing_token(held->second->acquired_at);
@@ -217,7 +221,7 @@
 void daemon_registrar::raise_fence(const std::string& service, instant now)
 {
     const auto held = directory_.failover_locks().find(service);
-    if (held == directory_.failover_locks().end() || !is_own(held->second) || lease_->lease() == 0) {
+    if (held == directory_.failover_locks().end() || !is_own(held->second) || lock_lease_->lease() == 0) {
         return;
     }
     write(options_.keys.failover_locks + service, options_.encode_failover_lock(held->second),
--- a/src/registration/daemon_registrar.h
+++ b/src/registration/daemon_registrar.h
@@ -29,8 +29,9 @@
 
 /// Registers this daemon in the store and claims failover locks that are free.
 ///
-/// All entries are attached to one lease, so a daemon costs the store one renewal per second, however many locks it
-/// holds. The daemons assigned to a service may claim its lock: the first claims a free lock immediately and each
+/// The registration is attached to one lease, and all locks to another, which is shorter and only asked for when the
+/// daemon claims its first lock: a dead holder must be replaced soon, while a dead daemon is missed by its peers at
+/// once. The daemons assigned to a service may claim its lock: the first claims a free lock immediately and each
 /// further one waits a little longer, which spreads the locks over the daemons and avoids races between them. Not
 /// thread-safe: owned by the decision thread.
 class daemon_registrar {
@@ -39,13 +40,10 @@
     [[nodiscard]] static result<std::unique_ptr<daemon_registrar>> make(daemon_registrar_options options,
                                                                         const service_directory& directory);
 
-    /// Renews the lease, registers this daemon and claims free locks. Call it when next() is reached.
+    /// Renews the leases, registers this daemon and claims free locks. Call it every few tenths of a second, after a
+    /// change of the directory and after an answer.
     void tick(instant now);
 
-    /// When tick() has to be called next; nothing while only an answer or a change of the directory can cause an
-    /// action.
-    [[nodiscard]] std::optional<instant> next() const;
-
     /// Reports that the directory or the order of claims has changed.
     void directory_changed(instant now) { claims_due_ = now; }
 
@@ -53,9 +51,9 @@
     bool handle(const store_answer& answer, instant now);
 
     /// Reports the era of any answer of the store. After a restore the daemon registers and claims its locks anew.
-    void note_era(store_era era, instant now) { lease_->note_era(era, now); }
+    void note_era(store_era era, instant now);
 
-    /// Revokes the lease and with it the registration and all locks.
+    /// Revokes the leases and with them the registration and all locks.
     void leave(instant now);
 
     /// The fencing token with which this daemon may change the primary of a service at `now`; empty if it may not. A
@@ -83,7 +81,7 @@
     }
 
     [[nodiscard]] std::string own_key() const;
-    [[nodiscard]] bool registered() const;
+    [[nodiscard]] bool registered(instant now) const;
     void register_self(instant now);
     void claim_failover_locks(instant now);
     [[nodiscard]] std::optional<instant> claim_failover_lock(const std::string& service, std::size_t order,
@@ -93,13 +91,16 @@
 
     daemon_registrar_options options_;
     const service_directory& directory_;
-    std::unique_ptr<lease_client> lease_;
+    std::unique_ptr<lease_client> registration_lease_;
+    std::unique_ptr<lease_client> lock_lease_;
+    bool claims_locks_ = false; ///< The daemon has had its turn to claim a lock, and needs the lock lease.
     std::map<call_number, pending_write> pending_writes_;
     std::map<std::string, instant> next_attempts_;        ///< By key.
     std::map<std::string, instant> free_since_;           ///< When the lock was found free, by service.
     std::map<std::string, std::uint64_t> refused_fences_; ///< Highest rejected fencing token, by service.
     std::optional<instant> claims_due_;                   ///< When locks have to be looked at again.
     lease_number registered_with_ = 0;                    ///< Lease of the last successful registration.
+    instant registered_at_{};
     bool deregistered_ = false;
 };
 
--- a/src/registration/lease_client.cc
+++ b/src/registration/lease_client.cc
@@ -87,6 +87,7 @@
                                                                 " era=" + std::to_string(each.client.era_));
                      each.client.lease_ = 0;
                      each.client.pending_call_ = 0;
+                     each.client.next_attempt_ = each.now;
                  }},
                 {"pause",
                  [](context& each) {
--- a/src/registration/lease_client.h
+++ b/src/registration/lease_client.h
@@ -22,8 +22,7 @@
     std::function<void(const std::string&, const std::string&)> log; ///< Event name, fields.
 };
 
-/// Acquires and renews this daemon's lease in the store, to which its registration and failover locks are attached
-/// (chart `lease`).
+/// Acquires and renews a lease in the store, to which entries of this daemon are attached (chart `lease`).
 ///
 /// Not thread-safe: owned by the decision thread.
 class lease_client {
@@ -31,15 +30,9 @@
     /// Error (bad_request): the chart does not match the bindings.
     [[nodiscard]] static result<std::unique_ptr<lease_client>> make(lease_client_options options);
 
-    /// Requests or renews the lease when due. Call it when next() is reached.
+    /// Requests or renews the lease when due. Call it every few tenths of a second.
     void tick(instant now);
 
-    /// When tick() has to be called next; nothing while a call is in flight.
-    [[nodiscard]] std::optional<instant> next() const
-    {
-        return pending_call_ == 0 ? std::optional(next_attempt_) : std::nullopt;
-    }
-
     /// Handles an answer of the platform. Returns false, without effect, if the call was not made by this object.
     bool handle(const store_answer& answer, instant now);
 
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -18,6 +18,7 @@
 #include <catch2/catch.hpp>
 
 using namespace citronfall;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -44,7 +45,15 @@
     share_request{{.member = member_key{{.group = "kapot-1", .member = "a"}}, .wanted = 2}},
     share_grant{{.number = 5, .member = member_key{{.group = "kapot-1", .member = "a"}}, .connections = 1}},
     share_ack{{.number = 5, .accepted = true}},
-    store_digest{{.changed_at = {{.era = 3, .revision = 9}, {.era = 2, .revision = 70}}, .store_live = true}},
+    store_digest{{.ranges = {range_digest{{.changed_at = {.era = 3, .revision = 9},
+                                           .complete_to = {.era = 3, .revision = 12},
+                                           .contents = 77}},
+                             range_digest{{.changed_at = {.era = 2, .revision = 70},
+                                           .complete_to = {.era = 2, .revision = 70},
+                                           .contents = 0}}},
+                  .store_live = true,
+                  .current_age = 350ms,
+                  .store_failure_age = 2s}},
     store_request{{.range = 1, .after = {.era = 2, .revision = 70}}},
     store_changes{{.range = 1,
                    .at = {.era = 3, .revision = 9},
@@ -152,8 +161,9 @@
     const auto changes = peer_codec::decode(encode_without_era(
         wire::body::store_changes, [](builder& out) { return wire::Createstore_changesDirect(out, 1).Union(); }));
     REQUIRE((ok(digest) && ok(request) && ok(changes)));
-    CHECK(value_of(digest) ==
-          peer_message(store_digest{{.changed_at = {{.revision = 7}, {.revision = 8}}, .store_live = true}}));
+    CHECK(value_of(digest) == peer_message(store_digest{{.ranges = {range_digest{{.changed_at = {.revision = 7}}},
+                                                                    range_digest{{.changed_at = {.revision = 8}}}},
+                                                         .store_live = true}}));
     CHECK(value_of(request) == peer_message(store_request{{.range = 1, .after = {.revision = 7}}}));
     CHECK(value_of(changes) == peer_message(store_changes{{.range = 1}}));
 }
@@ -240,7 +250,6 @@
 // sent.
 TEST_CASE("a link between daemons that send nothing stays open", "[peer]")
 {
-    using namespace std::chrono_literals;
     const std::string one = standin::free_address();
     const auto options = [&](const std::string& daemon) {
         return peer_service_options{
@@ -276,7 +285,6 @@
 // Guards against keepalives that wake the decision thread.
 TEST_CASE("keepalives of a link are not reported as messages", "[peer]")
 {
-    using namespace std::chrono_literals;
     const std::string one = standin::free_address();
     running_peer first({.self = peer_hello{{.daemon = "one"}}, .listen = one});
     running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}, .keepalive_interval = 50ms});
--- a/tests/registration_test.cc
+++ b/tests/registration_test.cc
@@ -84,14 +84,37 @@
         registrar->handle(store_answer{fields}, now);
     }
 
-    /// Grants the next requested lease, lets the daemon register and gives it the lock at a revision.
+    /// Grants the next requested lease and lets the daemon register with it at a revision.
+    void register_daemon(lease_number lease, kv_revision revision)
+    {
+        const auto asked = await<grant_lease>(sent.size());
+        answer(asked.number, {.lease = lease, .time_to_live = 10s});
+        const auto written = await<change_items>(sent.size());
+        apply(own_key, registration_codec::encode(self), revision, lease);
+        answer(written.number, {.revision = revision});
+    }
+
+    /// Lets the daemon register, and gives it the lock, with `lease`, at a revision.
     void register_and_lock(lease_number lease, kv_revision revision)
     {
+        register_daemon(registration_lease, revision - 1);
         const auto asked = await<grant_lease>(sent.size());
         answer(asked.number, {.lease = lease, .time_to_live = 3s});
-        static_cast<void>(await<change_items>(sent.size()));
-        apply(own_key, registration_codec::encode(self), revision - 1, lease);
+        const auto written = await<change_items>(sent.size());
         apply(lock_key, lock_value, revision, lease);
+        answer(written.number, {.revision = revision});
+    }
+
+    /// Runs the registrar until it renews a lease, and returns the call.
+    sent_call await_renewal(lease_number lease)
+    {
+        for (std::size_t after = sent.size();;) {
+            const auto renewal = await<renew_lease>(after);
+            if (std::get<renew_lease>(renewal.body)->lease == lease) {
+                return renewal;
+            }
+            after = renewal.number;
+        }
     }
 
     void apply(const std::string& key, const std::string& value, kv_revision revision, lease_number lease)
@@ -100,6 +123,7 @@
         registrar->directory_changed(now);
     }
 
+    static constexpr lease_number registration_lease = 900;
     daemon_registration self{{.name = "d1", .peer_address = "127.0.0.1:1", .data_center = "dc", .incarnation = 7}};
     std::string lock_value =
         registration_codec::encode(failover_lock{{.service = "ledger", .holder = "d1", .incarnation = 7}});
@@ -134,7 +158,7 @@
     REQUIRE(fixture.registrar->fence("ledger", fixture.now) == 90U);
     const std::size_t before = fixture.sent.size();
     fixture.era = 2;
-    const auto renewal = fixture.await<renew_lease>(before);
+    const auto renewal = fixture.await_renewal(1000);
     fixture.answer(renewal.number, {.lease = 1000, .time_to_live = 3s}); // Granted again, to another daemon.
     CHECK_FALSE(fixture.registrar->fence("ledger", fixture.now));
     static_cast<void>(fixture.await<grant_lease>(before));
@@ -153,9 +177,9 @@
     fixture.apply(lock_key, fixture.lock_value, 40, 990);
     CHECK_FALSE(fixture.registrar->fence("ledger", fixture.now));
     const std::size_t before = fixture.sent.size();
-    const auto asked = fixture.await<grant_lease>(before);
+    fixture.register_daemon(990, 51);
+    const auto asked = fixture.await<grant_lease>(before + 1); // The first was for the registration.
     fixture.answer(asked.number, {.lease = 991, .time_to_live = 3s});
-    fixture.apply(own_key, registration_codec::encode(fixture.self), 51, 991);
     std::optional<change_items> claim;
     for (int i = 0; i < 100 && !claim; ++i) {
         fixture.now += 50ms;
--- a/tests/store_mirror_test.cc
+++ b/tests/store_mirror_test.cc
@@ -26,7 +26,8 @@
         auto made =
             store_mirror::make({.prefix = "op/",
                                 .watch_wait = 10s,
-                                .batch_delay = [] { return duration(50ms); },
+                                .batch_delay = 50ms,
+                                .watches = [this] { return watches; },
                                 .call =
                                     [this](call_body body, duration timeout) {
                                         sent.push_back({sent.size() + 1, std::move(body), timeout});
@@ -52,6 +53,14 @@
                                now));
     }
 
+    /// Lets the watch tell of the deletion of an item.
+    void answer_watch_deletion(const std::string& key, kv_revision revision)
+    {
+        mirror->tick(start + 1s);
+        answer(call_outcome::done, {store_item{{.key = key, .revision = revision, .deleted = true}}}, revision,
+               start + 1s, false, 1);
+    }
+
     /// Completes the first read of the range in an era.
     void read(std::vector<store_item> items, const store_revision& at)
     {
@@ -65,6 +74,7 @@
         return found == mirror->table().items().end() ? "" : found->second->value;
     }
 
+    bool watches = true;
     std::vector<sent_call> sent;
     std::vector<store_item> changed;
     std::unique_ptr<store_mirror> mirror;
@@ -75,6 +85,15 @@
     return store_item{{.key = key, .value = value, .revision = revision}};
 }
 
+/// Digest of a copy that is complete up to a revision, at which its only item changed.
+store_digest digest_of(kv_revision revision)
+{
+    return store_digest{
+        {.ranges = {range_digest{
+             {.changed_at = {.revision = revision}, .complete_to = {.revision = revision}, .contents = revision}}},
+         .store_live = true}};
+}
+
 } // namespace
 
 TEST_CASE("a mirror reads all pages once and watches from the first page's revision", "[mirror]")
@@ -155,6 +174,95 @@
     CHECK(changes[1]->deleted);
 }
 
+TEST_CASE("a daemon drops an item whose deletion only a peer's snapshot can tell", "[mirror]")
+{
+    // A daemon that was cut off when a member left kept the member, because a peer that had started since did not know
+    // of the deletion and sent only what was newer.
+    mirror_fixture behind;
+    behind.read({item("op/left", 5), item("op/other", 4)}, {.era = 1, .revision = 6});
+    mirror_fixture restarted;
+    restarted.read({item("op/other", 4)}, {.era = 1, .revision = 10});
+    const mirror_table& table = restarted.mirror->table();
+    CHECK_FALSE(table.has_all_changes_since(behind.mirror->table().complete_to()));
+    const store_revision known = behind.mirror->table().complete_to();
+    behind.mirror->apply_peer_changes(store_changes{{.at = table.complete_to(),
+                                                     .complete = !table.has_all_changes_since(known),
+                                                     .items = table.changes_after(known)}},
+                                      start);
+    CHECK_FALSE(behind.mirror->table().items().contains("op/left"));
+    CHECK(behind.mirror->table().contents() == table.contents());
+}
+
+TEST_CASE("copies with the same items are equal however they came to be", "[mirror]")
+{
+    // Otherwise, daemons would request from each other what they have.
+    mirror_fixture watching;
+    watching.read({item("op/a", 3)}, {.era = 1, .revision = 4});
+    watching.answer(call_outcome::done, {item("op/b", 6), item("op/a", 8, "new")}, 9, start, false, 1);
+    mirror_fixture reading;
+    reading.read({item("op/a", 8, "new"), item("op/b", 6)}, {.era = 1, .revision = 20});
+    CHECK(watching.mirror->table().contents() == reading.mirror->table().contents());
+    watching.mirror->confirm(reading.mirror->table().complete_to());
+    CHECK(watching.mirror->table().complete_to().revision == 20);
+    watching.answer_watch_deletion("op/a", 22);
+    CHECK(watching.mirror->table().contents() != reading.mirror->table().contents());
+}
+
+TEST_CASE("a daemon that follows its peers reads once and makes no further call", "[mirror]")
+{
+    mirror_fixture fixture;
+    fixture.watches = false;
+    fixture.read({item("op/a", 3)}, {.era = 1, .revision = 4});
+    CHECK(std::get<read_range>(fixture.sent.front().body)->stale);
+    for (instant now = start; now < start + 60s; now += 100ms) {
+        fixture.mirror->tick(now);
+    }
+    CHECK(fixture.sent.size() == 1);
+    // When no peer tells of changes, it watches from what it has.
+    fixture.mirror->confirm({.era = 1, .revision = 9});
+    fixture.watches = true;
+    fixture.mirror->tick(start + 61s);
+    REQUIRE(fixture.sent.size() == 2);
+    CHECK(std::get<watch_range>(fixture.sent.back().body)->after == 9);
+}
+
+TEST_CASE("a daemon that cannot read the store follows a peer that has sent the contents", "[mirror]")
+{
+    mirror_fixture fixture;
+    fixture.watches = false;
+    fixture.mirror->tick(start);
+    fixture.answer(call_outcome::refused, {}, 0, start);
+    fixture.mirror->apply_peer_changes(
+        store_changes{{.at = {.era = 1, .revision = 9}, .complete = true, .items = {item("op/a", 3)}}}, start);
+    const std::size_t calls = fixture.sent.size();
+    for (instant now = start; now < start + 10s; now += 100ms) {
+        fixture.mirror->tick(now);
+    }
+    CHECK(fixture.sent.size() == calls);
+    CHECK(fixture.value("op/a") == "v");
+}
+
+TEST_CASE("a watch whose answer was lost is given up once a peer knows of the change", "[mirror]")
+{
+    mirror_fixture fixture;
+    fixture.read({item("op/config", 24)}, {.revision = 24});
+    const std::size_t calls = fixture.sent.size();
+    mirror_gossip gossip({.mirrors = {fixture.mirror.get()},
+                          .send = [](const std::string&, const peer_message&) {},
+                          .recipients = [](const std::set<std::string>&) { return std::vector<std::string>{}; },
+                          .log =
+                              [](const std::string&, const std::string&) {
+                              }});
+    gossip.handle("ahead", digest_of(25), start + 1s);
+    gossip.handle("ahead", digest_of(25), start + 2s);
+    fixture.mirror->tick(start + 2s);
+    CHECK(fixture.sent.size() == calls); // It may still arrive.
+    gossip.handle("ahead", digest_of(25), start + 3s);
+    fixture.mirror->tick(start + 4s);
+    REQUIRE(fixture.sent.size() == calls + 1);
+    CHECK(std::holds_alternative<watch_range>(fixture.sent.back().body));
+}
+
 TEST_CASE("an answer to another call is ignored", "[mirror]")
 {
     mirror_fixture fixture;
@@ -178,15 +286,13 @@
                                      asked.push_back(peer);
                                  }
                              },
-                         .random = [](std::uint64_t) { return 0; },
+                         .recipients = [](const std::set<std::string>&) { return std::vector<std::string>{}; },
                          .log =
                              [](const std::string&, const std::string&) {
                              }});
     for (int second = 2; second < 5; ++second) {
-        relay.handle("ahead", store_digest{{.changed_at = {{.revision = 25}}, .store_live = true}},
-                     start + second * 1s);
-        relay.handle("behind", store_digest{{.changed_at = {{.revision = 24}}, .store_live = true}},
-                     start + second * 1s + 500ms);
+        relay.handle("ahead", digest_of(25), start + second * 1s);
+        relay.handle("behind", digest_of(24), start + second * 1s + 500ms);
     }
     CHECK(asked == std::vector<std::string>{"ahead", "ahead"});
 }
@@ -309,14 +415,14 @@
         return mirror_gossip(
             {.mirrors = {fixture.mirror.get()},
              .send = [&sent](const std::string&, const peer_message& message) { sent.push_back(message); },
-             .random = [](std::uint64_t) { return 0U; },
+             .recipients = [](const std::set<std::string>&) { return std::vector<std::string>{}; },
              .log =
                  [](const std::string&, const std::string&) {
                  }});
     };
     mirror_gossip from = relay_of(ahead);
     mirror_gossip to = relay_of(behind);
-    from.connected("behind");
+    from.connected("behind", start);
     const auto digest = std::get<store_digest>(sent.back());
     to.handle("ahead", digest, start);
     to.handle("ahead", digest, start + 1s);
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -176,7 +176,8 @@
                           !members_.at(order->member).silenced && service_.promote(order->member, now);
                       return accepted ? call_outcome::done : call_outcome::conflict;
                   }}),
-      max_connections_(chosen.max_connections), sync_replicas_(chosen.sync_replicas), random_state_(chosen.seed)
+      max_connections_(chosen.max_connections), sync_replicas_(chosen.sync_replicas), first_start_(chosen.first_start),
+      random_state_(chosen.seed)
 {
     for (const std::string& id : member_ids(chosen.members)) {
         members_[id] = {};
@@ -205,7 +206,7 @@
     simulated_daemon& daemon = *daemons_[index];
     const std::string name = "d" + std::to_string(index);
     auto engine = gateway_engine::make(
-        {.settings = gateway_settings{{.name = name, .region = "r", .data_center = "dc"}},
+        {.settings = gateway_settings{{.name = name, .region = "r", .data_center = "dc", .first_start = first_start_}},
          .incarnation = index + 1,
          .send_reply =
              [this, index, &daemon](const caller_reply& reply) {
@@ -530,6 +531,11 @@
                        [&](const reported_member& each) { return each.id == id && each.draining; });
 }
 
+std::uint64_t gateway_simulation::configuration_version(std::size_t daemon) const
+{
+    return daemons_[daemon]->engine->report(now())->configuration_version;
+}
+
 bool gateway_simulation::ready(std::size_t daemon) const
 {
     return daemons_[daemon]->ready;
@@ -637,6 +643,10 @@
 void gateway_simulation::perform(std::size_t daemon, const store_call& call)
 {
     ++store_calls_;
+    const auto* read = std::get_if<read_range>(&call->body);
+    if (std::holds_alternative<renew_lease>(call->body) || (read != nullptr && (*read)->stale)) {
+        ++cheap_store_calls_;
+    }
     if (daemons_[daemon]->refused && !std::holds_alternative<promote_member>(call->body)) {
         deliver(daemon, store_answer{{.number = call->number, .outcome = call_outcome::refused}});
         return;
--- a/tests/support/gateway_simulation.h
+++ b/tests/support/gateway_simulation.h
@@ -29,6 +29,7 @@
         std::uint32_t max_connections = 20;
         std::uint32_t sync_replicas = 0; ///< In the configuration; the fake members do not wait for replicas.
         std::uint64_t seed = 1;
+        bool first_start = false; ///< The daemons start for the first time.
     };
 
     /// A reply to a caller and when it was sent.
@@ -96,7 +97,8 @@
 
     void start_further_daemon(); ///< Its index is the number of daemons so far.
     void terminate(std::size_t daemon);
-    void pause_member(const std::string& id); ///< As by a daemon that ends during a change of primary.
+    void kill(std::size_t daemon) { stop_daemon(daemon); } ///< Its process ends without notice; connections are closed.
+    void pause_member(const std::string& id);              ///< As by a daemon that ends during a change of primary.
     void cut_member(std::size_t daemon, const std::string& id, bool cut); ///< Messages between the two are lost.
     void cut_peers(std::size_t daemon, bool cut); ///< Messages to and from other daemons are lost.
 
@@ -107,6 +109,8 @@
     [[nodiscard]] bool lists(std::size_t daemon, const std::string& id) const; ///< Whether the daemon knows the member.
     [[nodiscard]] bool sees_draining(std::size_t daemon, const std::string& id) const;
     [[nodiscard]] bool paused(const std::string& id) const { return service_.paused(id); }
+    [[nodiscard]] std::uint64_t configuration_version(std::size_t daemon) const; ///< In force; 0: none.
+    [[nodiscard]] std::size_t daemons() const { return daemons_.size(); }
     [[nodiscard]] bool ready(std::size_t daemon) const;
     [[nodiscard]] bool stopped(std::size_t daemon) const;
     [[nodiscard]] std::size_t connections_in_use(const std::string& id) const; ///< Open transactions on the member.
@@ -114,6 +118,7 @@
     [[nodiscard]] std::vector<std::string> logged(std::size_t daemon, const std::string& event) const; ///< Fields.
     [[nodiscard]] std::optional<std::string> stored(const std::string& key) const;                     ///< Value.
     [[nodiscard]] std::size_t store_calls() const { return store_calls_; } ///< Calls of all daemons, refused ones too.
+    [[nodiscard]] std::size_t cheap_store_calls() const { return cheap_store_calls_; } ///< Renewals and stale reads.
     [[nodiscard]] std::uint64_t store_era() const { return store_.era(); }
     [[nodiscard]] std::string last_request() const { return "q" + std::to_string(last_request_); }
 
@@ -152,7 +157,9 @@
     std::map<std::string, std::string> written_; ///< Last value written by the operator or a member, by key.
     std::uint32_t max_connections_;
     std::uint32_t sync_replicas_;
+    bool first_start_;
     std::size_t store_calls_ = 0;
+    std::size_t cheap_store_calls_ = 0;
     session_number last_session_ = 0;
     std::uint64_t last_request_ = 0;
     std::uint64_t random_state_;
--- a/tests/support/single_gateway.cc
+++ b/tests/support/single_gateway.cc
@@ -15,6 +15,7 @@
 constexpr duration service_time = 5ms; ///< Run time of a caller's statement.
 constexpr duration store_advance_interval = 50ms;
 constexpr std::size_t members_per_service = 3;
+constexpr standin::store_client_number watcher_client = 1;
 
 std::string member_name(const std::string& service, std::size_t index)
 {
@@ -75,6 +76,7 @@
             store_.write("own/daemons/" + each, "daemon", 0, time_.now());
         }
     }
+    start_watcher();
     start();
     advance_store();
     run(5s);
@@ -200,6 +202,37 @@
     wake();
 }
 
+/// The other daemons are represented by one that watches the store.
+void single_gateway::start_watcher()
+{
+    auto watcher = store_replica::make(
+        {.self = watcher_candidate{{.name = "watcher", .data_center = "dc"}},
+         .ranges = {{.prefix = "op/"}, {.prefix = "members/"}, {.prefix = "own/"}},
+         .call =
+             [this](call_body body, duration timeout) {
+                 const store_call call{{.number = ++last_number_, .timeout = timeout, .body = std::move(body)}};
+                 time_.after(message_delay, [this, call] {
+                     store_.perform(watcher_client, call, time_.now(),
+                                    [this](const store_answer& answer) { watcher_->handle(answer, time_.now()); });
+                 });
+                 return call->number;
+             },
+         .changed = [](const store_item&, store_era) {},
+         .send =
+             [this](const std::string&, const peer_message& message) {
+                 if (!peers_.empty()) {
+                     deliver(
+                         peer_event{{.from = *peers_.begin(), .kind = peer_event_kind::received, .message = message}});
+                 }
+             },
+         .random = [](std::uint64_t) { return 0U; },
+         .log =
+             [](const std::string&, const std::string&) {
+             }});
+    assert(ok(watcher));
+    watcher_ = take(std::move(watcher));
+}
+
 /// Does what the decision thread does when it wakes: performs work that is due, then sleeps until more is.
 void single_gateway::wake()
 {
@@ -265,15 +298,17 @@
 void single_gateway::advance_store()
 {
     store_.advance(time_.now());
+    watcher_->tick(time_.now());
     time_.after(store_advance_interval, [this] { advance_store(); });
 }
 
-/// The other daemons accept connections from this one, and answer what it relays.
+/// The other daemons accept connections from this one, have the same copy of the store, and answer what it relays.
 void single_gateway::perform(const peer_service_command& command)
 {
     if (const auto* candidates = std::get_if<peer_candidates>(&command)) {
         for (const std::string& each : (*candidates)->pinned) {
             if (peers_.insert(each).second) {
+                watcher_->connected(self_, time_.now());
                 deliver(peer_event{{.from = each, .kind = peer_event_kind::connected}});
             }
         }
@@ -287,6 +322,12 @@
         time_.after(service_time, [this, from = message->to, outcome] {
             deliver(peer_event{{.from = from, .kind = peer_event_kind::received, .message = outcome}});
         });
+    } else if (const auto* digest = std::get_if<store_digest>(&message->message)) {
+        watcher_->handle(self_, *digest, time_.now());
+    } else if (const auto* request = std::get_if<store_request>(&message->message)) {
+        watcher_->handle(self_, *request);
+    } else if (const auto* changes = std::get_if<store_changes>(&message->message)) {
+        watcher_->handle(self_, *changes, time_.now());
     } else if (const auto* outcome = std::get_if<relayed_outcome>(&message->message)) {
         note_answer((*outcome)->outcome->failure.has_value());
     }
--- a/tests/support/single_gateway.h
+++ b/tests/support/single_gateway.h
@@ -14,7 +14,8 @@
 
 namespace citronfall {
 
-/// One gateway engine in a fleet whose other daemons are registered and answer, but are not simulated; in virtual time.
+/// One gateway engine in a fleet whose other daemons are registered, know the store and answer, but are not simulated;
+/// in virtual time.
 ///
 /// Shows what one daemon costs by the size of the fleet. It is assigned to the first service at least. Each service has
 /// three members, of which the first leads, and a database of its own name. Every message takes one millisecond. Not
@@ -55,6 +56,7 @@
 
 private:
     void start();
+    void start_watcher();
     void wake();
     void deliver(const gateway_event& event);
     void perform(const member_command& command);
@@ -74,6 +76,7 @@
     load::virtual_time time_;
     standin::store_model store_;
     std::unique_ptr<gateway_engine> engine_;
+    std::unique_ptr<store_replica> watcher_; ///< Copy of the store that the other daemons have.
     instant next_wake_{};
     std::map<connection_number, std::string> connections_; ///< Member by connection.
     std::set<std::string> peers_;
