Let sessions that start before the daemon is ready wait for it

A caller has three attempts.

Ruled out: reading the configuration sooner (the platform starts the process and opens its port within those moments).

Change: the start of a session waits for up to 1 s, with what the caller has sent meanwhile, and is then admitted or refused as before. At most 2,048 starts wait. The search for idle transactions visits only sessions in a transaction.

--- a/src/caller_session/session_table.cc
+++ b/src/caller_session/session_table.cc
@@ -13,6 +13,13 @@
 /// Limit on the pipelined statements of a session. Callers send one statement at a time; the limit bounds memory.
 constexpr std::size_t max_pipelined = 32;
 
+/// Longest time for which the start of a session waits for the daemon to become ready. A daemon that has just started
+/// knows its configuration within a fraction of it; callers wait two seconds for the answer.
+constexpr duration max_start_delay = std::chrono::milliseconds(1000);
+
+/// Limit on the starts that wait, which bounds memory.
+constexpr std::size_t max_delayed_starts = 2048;
+
 } // namespace
 
 result<std::unique_ptr<session_table>> session_table::make(session_table_hooks hooks)
@@ -160,17 +167,17 @@
 
 void session_table::start(const caller_connected& started, instant now)
 {
-    const auto refuse = [&](error_kind kind) {
-        hooks_.log("session_refused", "session=" + std::to_string(started->session) + " database=" + started->database +
-                                          " error=" + std::string(error_row_for(kind).name));
-        hooks_.reply(session_close{{.session = started->session, .failure = session_error(kind, started->database)}});
-    };
-    if (const auto reason = hooks_.refuse_start(now)) {
-        refuse(*reason);
+    const auto reason = hooks_.refuse_start(now);
+    if (reason == error_kind::not_ready && delayed_starts_.size() < max_delayed_starts) {
+        delayed_starts_[started->session] = {.started = started, .since = now, .statements = {}};
+        return;
+    }
+    if (reason) {
+        refuse(started, *reason);
         return;
     }
     if (hooks_.find_route(started->database) == nullptr) {
-        refuse(error_kind::unknown_database);
+        refuse(started, error_kind::unknown_database);
         return;
     }
     caller_session& session = sessions_[started->session];
@@ -181,8 +188,45 @@
     hooks_.reply(session_ready{{.session = started->session}});
 }
 
+void session_table::refuse(const caller_connected& started, error_kind kind)
+{
+    hooks_.log("session_refused", "session=" + std::to_string(started->session) + " database=" + started->database +
+                                      " error=" + std::string(error_row_for(kind).name));
+    hooks_.reply(session_close{{.session = started->session, .failure = session_error(kind, started->database)}});
+}
+
+void session_table::admit_delayed_starts(instant now)
+{
+    if (delayed_starts_.empty()) {
+        return;
+    }
+    const bool waits = hooks_.refuse_start(now) == error_kind::not_ready;
+    for (auto& [session, delayed] : std::exchange(delayed_starts_, {})) {
+        if (waits && now - delayed.since < max_start_delay) {
+            delayed_starts_.emplace(session, std::move(delayed));
+        } else if (waits) {
+            refuse(delayed.started, error_kind::not_ready);
+        } else {
+            start(delayed.started, now);
+            for (const caller_statement& each : delayed.statements) {
+                receive(each, now);
+            }
+        }
+    }
+}
+
 void session_table::receive(const caller_statement& received, instant now)
 {
+    if (const auto delayed = delayed_starts_.find(received->session); delayed != delayed_starts_.end()) {
+        if (delayed->second.statements.size() < max_pipelined) {
+            delayed->second.statements.push_back(received);
+        } else {
+            const caller_connected started = delayed->second.started;
+            delayed_starts_.erase(delayed);
+            refuse(started, error_kind::overloaded);
+        }
+        return;
+    }
     const auto found = sessions_.find(received->session);
     if (found == sessions_.end()) {
         hooks_.log("statement_dropped", "id=" + received->request_id + " session=" + std::to_string(received->session) +
@@ -228,6 +272,9 @@
 
 void session_table::leave(const caller_disconnected& left, instant now)
 {
+    if (delayed_starts_.erase(left->session) > 0) {
+        return;
+    }
     const auto found = sessions_.find(left->session);
     if (found == sessions_.end()) {
         const bool closed = left->reason == session_end_reason::closed_by_daemon && left->unread_bytes == 0;
@@ -291,12 +338,15 @@
 
 void session_table::tick(duration idle_limit, instant now)
 {
+    admit_delayed_starts(now);
     if (idle_limit == duration{}) {
         return;
     }
-    for (auto& [number, session] : sessions_) {
-        if (session.connection != 0 && !session.current && now - session.last_used > idle_limit) {
-            fire(session, event::idle_too_long, nullptr, now);
+    const std::map<connection_number, session_number> pinned = pinned_;
+    for (const auto& [connection, number] : pinned) {
+        const auto found = sessions_.find(number);
+        if (found != sessions_.end() && !found->second.current && now - found->second.last_used > idle_limit) {
+            fire(found->second, event::idle_too_long, nullptr, now);
         }
     }
 }
--- a/src/caller_session/session_table.h
+++ b/src/caller_session/session_table.h
@@ -26,7 +26,8 @@
 struct session_table_hooks {
     std::function<void(const caller_reply&)> reply;
     std::function<const route*(const std::string& database)> find_route; ///< Null if no route serves the database.
-    std::function<std::optional<error_kind>(instant)> refuse_start;      ///< Reason to refuse a new session, if any.
+    /// Reason to refuse a new session, if any. With not_ready its start waits a while for the daemon to become ready.
+    std::function<std::optional<error_kind>(instant)> refuse_start;
     std::function<task_number(const task_request&, instant)> submit;
     std::function<void(task_number, instant)> cancel;
     std::function<void(task_number, instant)> expire;        ///< Ends a statement as if its time were over.
@@ -57,6 +58,9 @@
     /// The connection of an open transaction has ended.
     void connection_lost(connection_number connection, instant now);
 
+    /// Starts the sessions that waited for the daemon to become ready, or refuses those that waited for too long.
+    void admit_delayed_starts(instant now);
+
     /// Ends transactions that have been idle for longer than `idle_limit`; 0 disables the limit.
     void tick(duration idle_limit, instant now);
 
@@ -108,12 +112,20 @@
         instant now;
     };
 
+    /// The start of a session that waits for the daemon to become ready.
+    struct delayed_start {
+        caller_connected started;
+        instant since{};
+        std::vector<caller_statement> statements; ///< Received meanwhile.
+    };
+
     explicit session_table(session_table_hooks hooks) : hooks_(std::move(hooks)) {}
 
     result<done> bind();
     static chart_bindings<context> bindings();
     void fire(caller_session& session, event what, const task_outcome* outcome, instant now);
     void start(const caller_connected& started, instant now);
+    void refuse(const caller_connected& started, error_kind kind);
     void receive(const caller_statement& received, instant now);
     void refuse_malformed(const malformed_caller_message& malformed, instant now);
     void leave(const caller_disconnected& left, instant now);
@@ -138,6 +150,7 @@
     std::vector<transaction_state> transaction_states_; ///< Transaction state shown to callers, by state of the chart.
     std::map<session_number, caller_session> sessions_;
     std::map<connection_number, session_number> pinned_;
+    std::map<session_number, delayed_start> delayed_starts_;
 };
 
 } // namespace citronfall
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -320,6 +320,7 @@
     }
     pool_->configure(members, shares, now);
     add_primary_changes(now);
+    sessions_->admit_delayed_starts(now);
     send_candidates();
     registrar_->directory_changed(now);
     pool_->tick(now);
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -18,10 +18,14 @@
     observed_sessions()
     {
         auto made = session_table::make(
-            {.reply = [](const caller_reply&) {},
+            {.reply = [this](const caller_reply& reply) { replies.push_back(reply); },
              .find_route = [this](const std::string&) { return &only_route; },
-             .refuse_start = [](instant) { return std::optional<error_kind>(); },
-             .submit = [](const task_request&, instant) { return submitted_task; },
+             .refuse_start = [this](instant) { return refusal; },
+             .submit =
+                 [this](const task_request&, instant) {
+                     ++submitted;
+                     return submitted_task;
+                 },
              .cancel = [](task_number, instant) {},
              .release = [](connection_number, instant) {},
              .locate =
@@ -52,7 +56,10 @@
     }
 
     route only_route{{.name = "own", .database = "own", .service = "ledger"}};
+    std::optional<error_kind> refusal;
     std::unique_ptr<session_table> table;
+    std::vector<caller_reply> replies;
+    std::size_t submitted = 0;
     std::vector<session_end> ends;
     std::vector<std::string> lines;
 };
@@ -224,3 +231,45 @@
     REQUIRE(sessions.closes().size() == 1);
     CHECK_FALSE(sessions.closes().front()->failure);
 }
+
+// Guards against refusing the callers that connect within the moments in which a daemon that was restarted learns its
+// configuration: of three attempts each, they lost one.
+TEST_CASE("a session that starts before the daemon is ready waits for it", "[caller_session]")
+{
+    using namespace std::chrono_literals;
+    observed_sessions observed;
+    const instant start{100s};
+    observed.refusal = error_kind::not_ready;
+    observed.table->handle(caller_connected{{.session = 1, .database = "own"}}, start);
+    observed.table->handle(caller_connected{{.session = 2, .database = "own"}}, start);
+    observed.send(1, "q1", "READ x");
+    observed.table->handle(caller_disconnected{{.session = 2}}, start);
+    observed.table->tick(0s, start + 500ms);
+    CHECK(observed.replies.empty());
+    observed.refusal.reset();
+    observed.table->admit_delayed_starts(start + 600ms);
+    REQUIRE(observed.replies.size() == 1);
+    CHECK(std::holds_alternative<session_ready>(observed.replies.front()));
+    CHECK(observed.submitted == 1);
+    CHECK(observed.table->size() == 1);
+}
+
+TEST_CASE("a session is refused if the daemon does not become ready in time", "[caller_session]")
+{
+    using namespace std::chrono_literals;
+    observed_sessions observed;
+    const instant start{100s};
+    observed.refusal = error_kind::not_ready;
+    observed.table->handle(caller_connected{{.session = 1, .database = "own"}}, start);
+    observed.table->tick(0s, start + 1s);
+    REQUIRE(observed.replies.size() == 1);
+    const auto* close = std::get_if<session_close>(&observed.replies.front());
+    REQUIRE(close != nullptr);
+    REQUIRE((*close)->failure);
+    CHECK((*(*close)->failure)->kind == error_kind::not_ready);
+    // A daemon that shuts down refuses at once what waited.
+    observed.table->handle(caller_connected{{.session = 2, .database = "own"}}, start);
+    observed.refusal = error_kind::leaving;
+    observed.table->tick(0s, start + 100ms);
+    CHECK(observed.replies.size() == 2);
+}
