Notice lost peers by TCP, and send far fewer keepalives

Cause: every link between daemons carried a frame each 2 s in both directions to notice that the other side was gone. A daemon of the large fleet has about 80 links: 40 wake-ups a second on each side, more than its statements cause. The peer thread also woke each 50 ms to look for work.

Ruled out: fewer links alone (they follow from the assignments, which stay).

Change: TCP keep-alive and the user timeout notice an instance that is gone within 1.3 s, also when statements wait; a link is closed after 30 s without a frame, for a process that stands still. The hello states that time, and the other side sends a keepalive after 40% of it; a release that does not state it closes after 5 s, so it gets one each 2 s as before. Queued frames are written together. The peer thread works when a link, a candidate or an attempt is due. The limit on incoming links follows the file descriptors (256 at least) instead of being less than the fleet.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -1,7 +1,7 @@
 #include "gateway/caller_server.h"
 
 #include "core/endpoint_address.h"
-#include "gateway/socket_options.h"
+#include "socket/socket_options.h"
 
 #include <array>
 #include <atomic>
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,8 +25,12 @@
 /// Longest wait of the decision thread before it retries a push to a full ring.
 constexpr duration full_ring_retry_interval = std::chrono::milliseconds(1);
 
-/// Limit on incoming peer connections: those of daemons that relay statements here and of gossip neighbours.
-constexpr std::size_t max_peers = 256;
+/// Limit on incoming peer connections: those of daemons that relay statements here and of gossip neighbours. In a large
+/// fleet that has lost many assigned daemons all others may connect to one.
+constexpr std::size_t min_max_peers = 256;
+
+/// Fraction of the file descriptors that incoming peer connections may use.
+constexpr std::size_t peer_descriptor_divisor = 4;
 
 /// Prefix of the keys in the store that belong to the daemons.
 constexpr const char* own_prefix = "citronfall/";
@@ -103,15 +107,16 @@
                           [this](const member_event& event) {
                               push(event);
                           }}),
-      peer_service_({.self = peer_hello{{.daemon = settings_->name,
-                                         .region = settings_->region,
-                                         .data_center = settings_->data_center,
-                                         .incarnation = incarnation_}},
-                     .listen = settings_->peer_listen,
-                     .seeds = settings_->peers,
-                     .notify = [this](const peer_event& event) { push(event); },
-                     .random = make_random_generator(),
-                     .max_accepted = max_peers}),
+      peer_service_(
+          {.self = peer_hello{{.daemon = settings_->name,
+                               .region = settings_->region,
+                               .data_center = settings_->data_center,
+                               .incarnation = incarnation_}},
+           .listen = settings_->peer_listen,
+           .seeds = settings_->peers,
+           .notify = [this](const peer_event& event) { push(event); },
+           .random = make_random_generator(),
+           .max_accepted = std::max<std::size_t>(min_max_peers, settings_->max_descriptors / peer_descriptor_divisor)}),
       monitoring_server_({.address = settings_->probe,
                           .ready_path = settings_->probe_path,
                           .metrics_path = "/metrics",
--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -1,8 +1,10 @@
 #include "peer/peer_connection.h"
 
 #include "peer/peer_codec.h"
+#include "socket/socket_options.h"
 
 #include <utility>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -18,6 +20,11 @@
 /// work does not fit, the connection is closed.
 constexpr std::size_t max_queued_bytes = 2 * (peer_codec::max_frame_bytes + 4);
 
+/// Frames that one system call writes.
+constexpr std::size_t max_frames_per_write = 16;
+
+using clock = asio::steady_timer::clock_type;
+
 std::string frame(const std::string& body)
 {
     std::string bytes;
@@ -54,8 +61,10 @@
 void peer_connection::start()
 {
     connected_ = true;
-    error_code ignored;
-    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    set_tcp_options(socket_.native_handle(), peer_tcp_timeouts);
+    received_at_ = clock::now();
+    sent_at_ = received_at_;
+    await_receive_timeout();
     read_length();
     write_next();
     start_keepalive();
@@ -81,9 +90,24 @@
     socket_.close(ignored);
 }
 
+/// One timer for all frames: restarting it with each would cost a system call a frame.
+void peer_connection::await_receive_timeout()
+{
+    timer_.expires_at(received_at_ + options_.receive_timeout);
+    timer_.async_wait([self = shared_from_this()](error_code code) {
+        if (code || self->closed_) {
+            return;
+        }
+        if (clock::now() >= self->received_at_ + self->options_.receive_timeout) {
+            self->close_with(peer_close_reason::timed_out);
+        } else {
+            self->await_receive_timeout();
+        }
+    });
+}
+
 void peer_connection::read_length()
 {
-    start_timer(options_.receive_timeout, peer_close_reason::timed_out);
     asio::async_read(socket_, asio::buffer(length_), [self = shared_from_this()](error_code code, std::size_t) {
         if (self->closed_) {
             return;
@@ -120,6 +144,7 @@
             self->close_with(peer_close_reason::bad_frame);
             return;
         }
+        self->received_at_ = clock::now();
         self->options_.received(value_of(message), self->body_.size() + self->length_.size());
         if (!self->closed_) {
             self->read_length();
@@ -127,14 +152,21 @@
     });
 }
 
+/// Writes all queued frames at once, up to a limit on their number.
 void peer_connection::write_next()
 {
     if (!connected_ || writing_ || closed_ || queue_.empty()) {
         return;
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(queue_.front()),
-                      [self = shared_from_this()](error_code code, std::size_t bytes) {
+    std::vector<asio::const_buffer> buffers;
+    for (const std::string& each : queue_) {
+        if (buffers.size() < max_frames_per_write) {
+            buffers.push_back(asio::buffer(each));
+        }
+    }
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this(), frames = buffers.size()](error_code code, std::size_t) {
                           self->writing_ = false;
                           if (self->closed_) {
                               return;
@@ -143,22 +175,40 @@
                               self->close_with(peer_close_reason::lost);
                               return;
                           }
-                          self->queued_bytes_ -= self->queue_.front().size();
-                          self->queue_.pop_front();
-                          self->options_.sent(bytes);
-                          self->start_keepalive();
-                          self->write_next();
+                          self->written(frames);
                       });
 }
 
-/// Restarted after each frame, so that only a connection on which nothing is sent carries keepalives.
+void peer_connection::written(std::size_t frames)
+{
+    for (std::size_t i = 0; i < frames; ++i) {
+        const std::size_t bytes = queue_.front().size();
+        queued_bytes_ -= bytes;
+        queue_.pop_front();
+        options_.sent(bytes);
+    }
+    sent_at_ = clock::now();
+    write_next();
+}
+
+void peer_connection::set_keepalive_interval(duration interval)
+{
+    options_.keepalive_interval = interval;
+}
+
+/// Only a connection on which nothing is sent carries keepalives.
 void peer_connection::start_keepalive()
 {
-    keepalive_timer_.expires_after(options_.keepalive_interval);
+    keepalive_timer_.expires_at(sent_at_ + options_.keepalive_interval);
     keepalive_timer_.async_wait([self = shared_from_this()](error_code code) {
-        if (!code && !self->closed_ && self->queue_.empty()) {
+        if (code || self->closed_) {
+            return;
+        }
+        if (clock::now() >= self->sent_at_ + self->options_.keepalive_interval && self->queue_.empty()) {
             static_cast<void>(self->send(peer_codec::encode(keepalive{})));
+            self->sent_at_ = clock::now();
         }
+        self->start_keepalive();
     });
 }
 
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -29,6 +29,8 @@
 
 /// One TCP connection to another daemon that carries frames in both directions.
 ///
+/// The kernel notices an instance that is gone; the time limits here are for a process that no longer runs.
+///
 /// Pending operations keep the object alive. Not thread-safe: used by the thread of the I/O context.
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
@@ -43,6 +45,9 @@
     /// Queues an encoded message for sending. Returns false without queuing it if the peer reads too slowly.
     [[nodiscard]] bool send(const std::string& body);
 
+    /// Sets for how long nothing may be sent before a keepalive is.
+    void set_keepalive_interval(duration interval);
+
     /// Closes the socket without calling any further hook.
     void close();
 
@@ -50,7 +55,9 @@
     void read_length();
     void read_body(std::size_t length);
     void write_next();
+    void written(std::size_t frames);
     void start_keepalive();
+    void await_receive_timeout();
     void start_timer(duration limit, peer_close_reason reason);
     void close_with(peer_close_reason reason);
 
@@ -62,6 +69,8 @@
     std::string body_;
     std::deque<std::string> queue_;
     std::size_t queued_bytes_ = 0;
+    boost::asio::steady_timer::time_point received_at_;
+    boost::asio::steady_timer::time_point sent_at_;
     bool connected_ = false;
     bool writing_ = false;
     bool closed_ = false;
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -23,8 +23,24 @@
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
 
-/// Interval at which replaced connections are closed and missing neighbours are connected.
-constexpr duration maintenance_interval = std::chrono::milliseconds(50);
+/// Delay after which replaced connections are closed and missing neighbours are connected, so that one pass serves many
+/// changes.
+constexpr duration maintenance_delay = std::chrono::milliseconds(10);
+
+/// Interval of these passes while nothing changes.
+constexpr duration maintenance_interval = std::chrono::seconds(1);
+
+/// Fraction of the peer's receive timeout after which a keepalive is sent, so that a connection survives one that is
+/// late.
+constexpr double keepalive_fraction = 0.4;
+
+/// Keepalive interval until the peer's hello arrives.
+constexpr duration first_keepalive_interval = std::chrono::seconds(2);
+
+duration keepalive_interval_for(duration receive_timeout)
+{
+    return std::chrono::duration_cast<duration>(receive_timeout * keepalive_fraction);
+}
 
 /// Time for which a replaced connection stays open so that messages in flight on it arrive.
 constexpr duration retirement_delay = std::chrono::seconds(1);
@@ -65,9 +81,13 @@
     explicit impl(peer_service_options options)
         : options_(std::move(options)), acceptor_(context_), maintenance_timer_(context_),
           commands_({.capacity = options_.ring_capacity, .on_push = [this] {
-                         asio::post(context_, [this] { process_commands(); });
+                         if (!processing_posted_.exchange(true)) {
+                             asio::post(context_, [this] { process_commands(); });
+                         }
                      }})
     {
+        options_.self = peer_hello{with(
+            options_.self, [this](peer_hello_fields& fields) { fields.receive_timeout = options_.receive_timeout; })};
         for (const std::string& seed : options_.seeds) {
             candidates_[seed];
         }
@@ -117,6 +137,8 @@
 
     void accept();
     void maintain();
+    void schedule_maintenance(instant at);
+    [[nodiscard]] instant next_maintenance(instant now) const;
     void open_neighbours();
     void open_link(const std::string& address);
     std::uint64_t add_link(tcp::socket socket, const std::string& address);
@@ -138,6 +160,8 @@
     asio::io_context context_;
     tcp::acceptor acceptor_;
     asio::steady_timer maintenance_timer_;
+    instant maintenance_at_{}; ///< When the maintenance timer fires.
+    std::atomic<bool> processing_posted_{false};
     bounded_ring<peer_service_command> commands_;
     peer_counters counters_;
     std::map<std::string, candidate> candidates_;          ///< By address.
@@ -198,7 +222,18 @@
 {
     close_retired_links();
     open_neighbours();
-    maintenance_timer_.expires_after(maintenance_interval);
+    maintenance_at_ = {};
+    schedule_maintenance(next_maintenance(steady_now()));
+}
+
+/// Makes the next pass happen at `at` at the latest.
+void peer_service::impl::schedule_maintenance(instant at)
+{
+    if (maintenance_at_ != instant{} && maintenance_at_ <= at) {
+        return;
+    }
+    maintenance_at_ = at;
+    maintenance_timer_.expires_after(std::max(at - steady_now(), duration{}));
     maintenance_timer_.async_wait([this](error_code code) {
         if (!code) {
             maintain();
@@ -206,6 +241,20 @@
     });
 }
 
+/// When the next pass has something to do, as far as it is known.
+instant peer_service::impl::next_maintenance(instant now) const
+{
+    instant due = now + maintenance_interval;
+    for (const auto& [number, each] : links_) {
+        due = std::min(due, each.retire_at.value_or(due));
+    }
+    for (const auto& [address, each] : candidates_) {
+        const bool wanted = each.link == 0 && each.next_attempt > now && !peers_.contains(each.daemon);
+        due = wanted ? std::min(due, each.next_attempt) : due;
+    }
+    return std::max(due, now + maintenance_delay);
+}
+
 std::size_t peer_service::impl::neighbour_count() const
 {
     // A chosen neighbour that connected to this daemon first needs no second connection.
@@ -273,7 +322,8 @@
                                     },
                                 .closed = [this, number](peer_close_reason reason) { handle_close(number, reason); },
                                 .receive_timeout = options_.receive_timeout,
-                                .keepalive_interval = options_.keepalive_interval});
+                                .keepalive_interval = std::min(first_keepalive_interval,
+                                                               keepalive_interval_for(options_.receive_timeout))});
     links_.emplace(number, link{.connection = connection, .address = address, .daemon = {}});
     static_cast<void>(connection->send(peer_codec::encode(options_.self)));
     return number;
@@ -313,6 +363,7 @@
         return;
     }
     close_links_of_former_run(hello);
+    greeted_link.connection->set_keepalive_interval(keepalive_interval_for(hello->receive_timeout));
     greeted_link.daemon = hello->daemon;
     greeted_link.incarnation = hello->incarnation;
     if (const auto found = candidates_.find(greeted_link.address); found != candidates_.end()) {
@@ -371,6 +422,7 @@
         }
         peers_.at(daemon).erase(each);
         found->second.retire_at = steady_now() + retirement_delay;
+        schedule_maintenance(*found->second.retire_at);
     }
 }
 
@@ -409,6 +461,7 @@
         each.next_attempt = steady_now() + pause / 2 + duration(jitter);
     }
     remove_link(number, reason);
+    schedule_maintenance(steady_now() + maintenance_delay);
 }
 
 void peer_service::impl::remove_link(std::uint64_t number, peer_close_reason reason)
@@ -435,6 +488,7 @@
 
 void peer_service::impl::process_commands()
 {
+    processing_posted_ = false;
     while (const auto command = commands_.try_pop()) {
         std::visit([this](const auto& each) { handle(each); }, *command);
     }
@@ -468,6 +522,7 @@
     for (const std::string& address : known) {
         candidates_[address];
     }
+    schedule_maintenance(steady_now() + maintenance_delay);
 }
 
 /// Returns whether the message was queued.
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -30,10 +30,9 @@
     duration reconnect_min = std::chrono::milliseconds(100);
     duration reconnect_max = std::chrono::seconds(5);
     duration connect_timeout = std::chrono::seconds(2);
-    duration receive_timeout = std::chrono::seconds(5); ///< A connection is closed if no frame arrives for this long.
-    /// A keepalive is sent on a connection that has sent nothing for this long. Under half of receive_timeout, so that
-    /// a connection survives one keepalive that is late.
-    duration keepalive_interval = std::chrono::seconds(2);
+    /// A connection is closed if no frame arrives for this long. The kernel notices sooner that an instance is gone;
+    /// this is for a process that stands still.
+    duration receive_timeout = std::chrono::seconds(30);
 };
 
 /// Network connections to other daemons. A frame is a 4-byte little-endian length followed by a FlatBuffers message.
@@ -43,7 +42,8 @@
 /// each direction is a hello. A frame that is too long, malformed or unexpected closes the connection and is counted.
 /// Relayed work for a peer that reads too slowly closes the connection as well; other messages for it are dropped.
 /// Several connections between two daemons are treated as one: `connected` is reported for the first, `disconnected`
-/// after the last or when a new run of the daemon connects.
+/// after the last or when a new run of the daemon connects. Each side states its receive timeout in the hello, and the
+/// other sends keepalives that suit it.
 ///
 /// run() is the body of the peer thread; the other methods are thread-safe.
 class peer_service {
--- a/src/socket/socket_options.cc
+++ b/src/socket/socket_options.cc
@@ -1,4 +1,4 @@
-#include "gateway/socket_options.h"
+#include "socket/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/socket/socket_options.h
+++ b/src/socket/socket_options.h
@@ -16,6 +16,11 @@
 inline constexpr tcp_timeouts member_tcp_timeouts{
     .user_timeout = std::chrono::milliseconds(700), .keep_alive = std::chrono::seconds(1), .keep_alive_probes = 1};
 
+/// For connections to other daemons. Relayed statements wait on them, but a lost packet is sent again only after 200
+/// ms, and a second time after 600 ms.
+inline constexpr tcp_timeouts peer_tcp_timeouts{
+    .user_timeout = std::chrono::milliseconds(1300), .keep_alive = std::chrono::seconds(1), .keep_alive_probes = 2};
+
 /// For connections from callers, which may be far away.
 inline constexpr tcp_timeouts caller_tcp_timeouts{
     .user_timeout = std::chrono::seconds(5), .keep_alive = std::chrono::seconds(10), .keep_alive_probes = 3};
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -252,8 +252,7 @@
 {
     const std::string one = standin::free_address();
     const auto options = [&](const std::string& daemon) {
-        return peer_service_options{
-            .self = peer_hello{{.daemon = daemon}}, .receive_timeout = 1s, .keepalive_interval = 200ms};
+        return peer_service_options{.self = peer_hello{{.daemon = daemon}}, .receive_timeout = 1s};
     };
     peer_service_options listening = options("one");
     listening.listen = one;
@@ -282,12 +281,23 @@
     CHECK(value_of(read) == peer_message{keepalive{}});
 }
 
+// Guards against links to daemons of the former release, which close a silent one after 5 s and do not say so.
+TEST_CASE("the hello of the former release states its receive timeout by default", "[peer]")
+{
+    flatbuffers::FlatBufferBuilder out;
+    const auto hello = wire::CreatehelloDirect(out, "old", "r", "dc", 7);
+    out.Finish(wire::Createpeer_message(out, wire::body::hello, hello.Union()));
+    const auto read = peer_codec::decode({reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()});
+    REQUIRE(ok(read));
+    CHECK(std::get<peer_hello>(value_of(read))->receive_timeout == 5s);
+}
+
 // Guards against keepalives that wake the decision thread.
 TEST_CASE("keepalives of a link are not reported as messages", "[peer]")
 {
     const std::string one = standin::free_address();
-    running_peer first({.self = peer_hello{{.daemon = "one"}}, .listen = one});
-    running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}, .keepalive_interval = 50ms});
+    running_peer first({.self = peer_hello{{.daemon = "one"}}, .listen = one, .receive_timeout = 125ms});
+    running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}});
     REQUIRE(first.wait(peer_event_kind::connected));
     CHECK_FALSE(first.wait(peer_event_kind::received, 500ms));
     CHECK(first.service.counters().at("peer_frames_received_total") > 1);
