Assign daemons by capacity and data centre, and replace the unreachable ones

Cause: daemons were assigned to services with equal chances and anywhere, so small instances held the connections of up to four services, and four of five relayed statements crossed between data centres.

Ruled out: few daemons on the strongest instances (a deployment may have none).

Change: registrations carry the capacity of the instance (processor share, or less if its link is full before). Weighted rendezvous hashing assigns in proportion, with at most 1.25 times a daemon's part while others have room, and each data centre gets its part of a service's daemons; others relay to those of their own data centre first. A daemon to which no connection comes about for 0.5 s, or whose connection is lost, is replaced among the pinned ones for 4 s. A daemon that is no longer assigned to a service gives up its failover lock: it has no connections to judge the primary by, and held the lock for as long as it lived (found by a test that an assignment with other ranks broke).

In the stand-in, empty transactions of less than 10 ms do not count as open: daemons probe leaders with them, and all now do so on the same ticks.

--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -44,7 +44,11 @@
 } // namespace
 
 gateway_engine::gateway_engine(gateway_engine_options options)
-    : options_(std::move(options)), relay_directory_(options_.settings->name)
+    : options_(std::move(options)),
+      relay_directory_(relay_candidate{
+          {.name = options_.settings->name,
+           .data_center = options_.settings->data_center,
+           .capacity = daemon_capacity(options_.settings->processor_cores, options_.settings->link_mbps)}})
 {
 }
 
@@ -78,6 +82,9 @@
         (*due)(now);
     }
     replica_->tick(now);
+    if (relay_directory_.replace_unreachable(now)) {
+        send_candidates();
+    }
     registrar_->tick(now);
     directory_changed_ = directory_->expire(now) || directory_changed_;
     pool_->tick(now);
@@ -163,7 +170,7 @@
     switch (event->kind) {
     case peer_event_kind::connected:
         log(log_priority::notable, "peer_connected", "peer=" + event->from);
-        relay_directory_.connected(event->from);
+        relay_directory_.connected(event->from, now);
         replica_->connected(event->from, now);
         if (leaving_) {
             options_.send_peer_command(outgoing_peer_message{{.to = event->from, .message = leave_notice{}}});
@@ -172,7 +179,7 @@
     case peer_event_kind::disconnected:
         log(log_priority::notable, "peer_lost",
             "peer=" + event->from + " reason=" + peer_close_reason_name(event->reason));
-        relay_directory_.disconnected(event->from);
+        relay_directory_.disconnected(event->from, now);
         replica_->disconnected(event->from);
         statement_relay_->disconnected(event->from, now);
         return;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -137,9 +137,15 @@
         {.self = daemon_registration{{.name = settings->name,
                                       .peer_address = settings->peer_listen,
                                       .data_center = settings->data_center,
+                                      .capacity = daemon_capacity(settings->processor_cores, settings->link_mbps),
                                       .incarnation = options_.incarnation}},
          .keys = options_.service_directory.keys,
          .claim_order = [this](const std::string& service) { return relay_directory_.own_position(service); },
+         .uses_lock =
+             [this](const std::string& service) {
+                 const auto change = primary_changes_.find(service);
+                 return change != primary_changes_.end() && change->second->in_progress();
+             },
          .fences_enforced = settings->fences_enforced,
          .call = [this](call_body body, duration timeout) { return call_store(std::move(body), timeout); },
          .encode_daemon = options_.encode_daemon,
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -42,17 +42,17 @@
 /// Assigns daemons to the services in use, and remembers those whose leases have expired.
 void gateway_engine::assign_daemons()
 {
-    std::set<std::string> others;
+    std::set<std::string> listed{options_.settings->name};
+    std::vector<relay_candidate> others;
     std::vector<watcher_candidate> watcher_candidates;
     for (const auto& [name, entry] : directory_->daemons()) {
-        if (name != options_.settings->name) {
-            others.insert(name);
+        if (listed.insert(name).second) {
+            others.push_back(
+                relay_candidate{{.name = name, .data_center = entry->data_center, .capacity = entry->capacity}});
             watcher_candidates.push_back(watcher_candidate{{.name = name, .data_center = entry->data_center}});
         }
     }
     replica_->set_daemons(std::move(watcher_candidates));
-    std::set<std::string> listed = others;
-    listed.insert(options_.settings->name);
     std::map<std::string, std::uint32_t> limits;
     for (const std::string& service : directory_->used_services()) {
         expired_daemons_.update(service, relay_directory_.assigned(service), listed, now_);
@@ -60,7 +60,7 @@
         const auto found = services.find(service);
         limits[service] = found == services.end() ? 0 : found->second->max_connections;
     }
-    relay_directory_.configure(limits, others);
+    relay_directory_.configure(limits, others, now_);
 }
 
 bool gateway_engine::is_relayed_here(const std::string& service, instant now) const
@@ -93,8 +93,10 @@
 /// Tells the peer thread which daemons there are, and which of them to stay connected to.
 void gateway_engine::send_candidates()
 {
-    std::set<std::string> pinned = relay_directory_.pinned();
-    pinned.insert(replica_->followed().begin(), replica_->followed().end());
+    std::set<std::string> pinned = replica_->followed();
+    for (const auto& [name, since] : relay_directory_.pinned()) {
+        pinned.insert(name);
+    }
     peer_candidates_fields candidates;
     for (const auto& [name, entry] : directory_->daemons()) {
         if (name == options_.settings->name || entry->peer_address.empty()) {
@@ -118,7 +120,7 @@
 void gateway_engine::note_peer_leaves(const std::string& peer)
 {
     log(log_priority::notable, "peer_leaves", "peer=" + peer);
-    relay_directory_.leaves(peer);
+    relay_directory_.leaves(peer, now_);
     directory_changed_ = true;
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "citronfall/immutable.h"
 #include "citronfall/instant.h"
+#include "registration/daemon_capacity.h"
 
 #include <cstdint>
 #include <string>
@@ -28,6 +29,8 @@
     duration grace = std::chrono::seconds(6);              ///< From the termination signal until the process is killed.
     duration config_apply_bound = std::chrono::seconds(3); ///< Time in which a new configuration must take effect.
     std::uint32_t max_descriptors = 1024;
+    double processor_cores = default_processor_cores; ///< Processor time that the instance may use, in cores.
+    double link_mbps = default_link_mbps;             ///< Bandwidth of the instance's link.
 
     friend auto operator<=>(const gateway_settings_fields&, const gateway_settings_fields&) = default;
 };
--- a/src/json/json_object_reader.cc
+++ b/src/json/json_object_reader.cc
@@ -3,6 +3,7 @@
 #include "core/endpoint_address.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -56,6 +57,13 @@
     return !value.empty() || (rule.fallback && rule.fallback->empty());
 }
 
+std::string describe_range(const number_rule& rule)
+{
+    std::ostringstream text;
+    text << "a number from " << rule.min << " to " << rule.max;
+    return text.str();
+}
+
 } // namespace
 
 json_object_reader::json_object_reader(const json& source, std::string path, std::vector<json_problem>& problems)
@@ -105,6 +113,20 @@
     return value->get<std::int64_t>();
 }
 
+double json_object_reader::number(const std::string& key, const number_rule& rule)
+{
+    const json* value = find(key);
+    const bool allowed =
+        value != nullptr && value->is_number() && value->get<double>() >= rule.min && value->get<double>() <= rule.max;
+    if (allowed) {
+        return value->get<double>();
+    }
+    if (value != nullptr || !rule.fallback) {
+        add_problem(key, value == nullptr ? "nothing" : excerpt(*value), describe_range(rule));
+    }
+    return rule.fallback.value_or(rule.min);
+}
+
 std::string json_object_reader::text(const std::string& key, const text_rule& rule)
 {
     const json* value = find(key);
--- a/src/json/json_object_reader.h
+++ b/src/json/json_object_reader.h
@@ -21,6 +21,13 @@
     std::optional<std::int64_t> fallback{};
 };
 
+/// Allowed range and default of a number. Without a default the key is required.
+struct number_rule {
+    double min = 0;
+    double max = std::numeric_limits<double>::max();
+    std::optional<double> fallback{};
+};
+
 /// Allowed values and default of a string. Without a default the key is required.
 struct text_rule {
     std::vector<std::string> choices{}; ///< Empty: any.
@@ -46,6 +53,9 @@
     /// Reads an integer.
     [[nodiscard]] std::int64_t integer(const std::string& key, const integer_rule& rule);
 
+    /// Reads an integer or a fraction.
+    [[nodiscard]] double number(const std::string& key, const number_rule& rule);
+
     /// Reads a string, which may be empty only if the default is.
     [[nodiscard]] std::string text(const std::string& key, const text_rule& rule);
 
--- a/src/registration/daemon_registrar.cc
+++ b/src/registration/daemon_registrar.cc
@@ -111,13 +111,33 @@
     }
     for (const std::string& service : directory_.used_services()) {
         const auto order = options_.claim_order(service);
-        const auto due = order ? claim_failover_lock(service, *order, now) : std::nullopt;
+        const auto due = order ? claim_failover_lock(service, *order, now) : release_failover_lock(service, now);
         if (due) {
             claims_due_ = claims_due_ ? std::min(*claims_due_, *due) : *due;
         }
     }
 }
 
+/// Gives up the lock of a service that this daemon is no longer assigned to: it has no connections to judge the primary
+/// by. Returns when to look at it again; nothing if it holds no lock.
+std::optional<instant> daemon_registrar::release_failover_lock(const std::string& service, instant now)
+{
+    free_since_.erase(service);
+    const auto held = directory_.failover_locks().find(service);
+    if (held == directory_.failover_locks().end() || !is_own(held->second)) {
+        return std::nullopt;
+    }
+    const std::string key = options_.keys.failover_locks + service;
+    if (now >= next_attempts_[key] && !options_.uses_lock(service)) {
+        next_attempts_[key] = now + min_write_interval;
+        const expected_revision condition{{.key = key, .revision = held->second->acquired_at.revision}};
+        const call_number number =
+            options_.call(change_items{{.expected = {condition}, .deletes = {key}}}, write_timeout);
+        pending_writes_[number] = {.key = key, .lease = lock_lease_->lease()};
+    }
+    return std::max(next_attempts_[key], now + min_write_interval);
+}
+
 /// Claims the lock of a service if it is free and this daemon's turn has come. Returns when to look at it again;
 /// nothing if only a change of the directory can free it.
 std::optional<instant> daemon_registrar::claim_failover_lock(const std::string& service, std::size_t order, instant now)
--- a/src/registration/daemon_registrar.h
+++ b/src/registration/daemon_registrar.h
@@ -20,6 +20,7 @@
     service_directory_keys keys;
     /// Position of this daemon, from 0, among those that may claim the lock of a service; nothing if it may not.
     std::function<std::optional<std::size_t>(const std::string& service)> claim_order;
+    std::function<bool(const std::string& service)> uses_lock; ///< Whether a change of primary is in progress here.
     bool fences_enforced = true; ///< The platform rejects promotions with a fencing token below one it has seen.
     std::function<call_number(call_body, duration timeout)> call;
     std::function<std::string(const daemon_registration&)> encode_daemon;
@@ -84,6 +85,7 @@
     [[nodiscard]] bool registered(instant now) const;
     void register_self(instant now);
     void claim_failover_locks(instant now);
+    [[nodiscard]] std::optional<instant> release_failover_lock(const std::string& service, instant now);
     [[nodiscard]] std::optional<instant> claim_failover_lock(const std::string& service, std::size_t order,
                                                              instant now);
     void write(const std::string& key, const std::string& value, kv_revision expected, instant now);
--- a/src/registration_codec/registration_codec.cc
+++ b/src/registration_codec/registration_codec.cc
@@ -16,8 +16,10 @@
 
 std::string registration_codec::encode(const daemon_registration& entry)
 {
-    return json{
-        {"peer_address", entry->peer_address}, {"data_center", entry->data_center}, {"incarnation", entry->incarnation}}
+    return json{{"peer_address", entry->peer_address},
+                {"data_center", entry->data_center},
+                {"capacity", entry->capacity},
+                {"incarnation", entry->incarnation}}
         .dump();
 }
 
@@ -28,6 +30,7 @@
         return daemon_registration{{.name = std::string(name),
                                     .peer_address = source.at("peer_address").get<std::string>(),
                                     .data_center = source.at("data_center").get<std::string>(),
+                                    .capacity = source.value("capacity", default_processor_cores),
                                     .incarnation = source.at("incarnation").get<std::uint64_t>()}};
     } catch (const json::exception& problem) {
         return unreadable(name, problem.what());
--- a/src/relay/assigned_daemons.h
+++ b/src/relay/assigned_daemons.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "relay/relay_candidate.h"
+
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,17 +16,22 @@
 /// because a daemon's only connection would be idle most of the time. Thread-safe.
 [[nodiscard]] std::size_t assigned_daemon_count(std::uint32_t limit, std::size_t daemons);
 
-/// The daemons assigned to a service, lowest rank first. Rendezvous hashing makes all daemons compute the same list,
-/// which changes little when a daemon is added or removed. Thread-safe.
-[[nodiscard]] std::vector<std::string> assigned_daemons(const std::string& service,
-                                                        const std::vector<std::string>& daemons, std::uint32_t limit);
+/// The daemons assigned to each service, lowest rank first. `limits` has the connections that one member accepts, by
+/// service.
+///
+/// Weighted rendezvous hashing makes all daemons compute the same lists, which change little when a daemon is added or
+/// removed. A daemon is assigned in proportion to its capacity; one that has its part of the services already is passed
+/// over while others have room. Each data centre has its part of a service's daemons, so that the others find one
+/// near. Thread-safe.
+[[nodiscard]] std::map<std::string, std::vector<std::string>>
+assigned_daemons(const std::map<std::string, std::uint32_t>& limits, const std::vector<relay_candidate>& daemons);
 
-/// The daemons `assigned` to a service, in the order in which the daemon `self` prefers to relay to them. The order
-/// differs between daemons, which spreads the load. Thread-safe.
-[[nodiscard]] std::vector<std::string> preferred_relay_targets(const std::string& self,
-                                                               const std::vector<std::string>& assigned);
+/// The daemons `assigned` to a service, in the order in which the daemon `self` prefers to relay to them: those of its
+/// data centre first. The order differs between daemons, which spreads the load. Thread-safe.
+[[nodiscard]] std::vector<std::string> preferred_relay_targets(const relay_candidate& self,
+                                                               const std::vector<relay_candidate>& assigned);
 
-/// Rank of a daemon for a service by rendezvous hashing; the lowest comes first. The same on all daemons. Thread-safe.
-[[nodiscard]] std::uint64_t rendezvous_rank(const std::string& service, const std::string& daemon);
+/// Hash of a daemon's name for a key, the same on all daemons. Thread-safe.
+[[nodiscard]] std::uint64_t rendezvous_rank(const std::string& key, const std::string& daemon);
 
 } // namespace citronfall
--- a/src/relay/relay_directory.cc
+++ b/src/relay/relay_directory.cc
@@ -14,6 +14,13 @@
 /// replaces a primary.
 constexpr std::size_t max_connected_assigned = 6;
 
+/// Time for the connection to a pinned daemon to come about, before another takes its place.
+constexpr duration max_connecting_time = std::chrono::milliseconds(500);
+
+/// How long a daemon to which no connection came about, or whose connection was lost, is not pinned. Its registration
+/// may be listed for longer.
+constexpr duration unreachable_time = std::chrono::seconds(4);
+
 const std::vector<std::string> no_daemons{};
 
 /// The first `count` daemons that do not shut down, or the first ones if all do.
@@ -36,45 +43,64 @@
 } // namespace
 
 void relay_directory::configure(const std::map<std::string, std::uint32_t>& limits,
-                                const std::set<std::string>& daemons)
+                                const std::vector<relay_candidate>& daemons, instant now)
 {
     if (limits == limits_ && daemons == daemons_) {
         return;
     }
     limits_ = limits;
     daemons_ = daemons;
-    std::vector<std::string> all(daemons.begin(), daemons.end());
+    std::vector<relay_candidate> all = daemons;
     all.push_back(self_);
     services_.clear();
-    for (const auto& [service, limit] : limits_) {
-        services_[service].assignment = make_service_assignment(service, all, limit, self_);
+    for (const auto& [service, assignment] : make_service_assignments(limits_, all, self_)) {
+        services_[service].assignment = assignment;
     }
     update_connected();
-    update_pinned();
+    update_pinned(now);
 }
 
-void relay_directory::connected(const std::string& peer)
+void relay_directory::connected(const std::string& peer, instant now)
 {
     if (peers_.insert(peer).second) {
         update_connected();
     }
+    if (unreachable_.erase(peer) > 0) {
+        update_pinned(now);
+    }
 }
 
-void relay_directory::disconnected(const std::string& peer)
+void relay_directory::disconnected(const std::string& peer, instant now)
 {
-    const bool was_leaving = leaving_.erase(peer) > 0;
-    if (peers_.erase(peer) > 0 || was_leaving) {
+    leaving_.erase(peer);
+    if (peers_.erase(peer) > 0) {
+        unreachable_[peer] = now + unreachable_time;
         update_connected();
-        update_pinned();
+        update_pinned(now);
     }
 }
 
-void relay_directory::leaves(const std::string& peer)
+void relay_directory::leaves(const std::string& peer, instant now)
 {
     if (leaving_.insert(peer).second) {
         update_connected();
-        update_pinned();
+        update_pinned(now);
+    }
+}
+
+bool relay_directory::replace_unreachable(instant now)
+{
+    bool changed = std::erase_if(unreachable_, [now](const auto& each) { return each.second <= now; }) > 0;
+    for (const auto& [daemon, since] : pinned_) {
+        if (!peers_.contains(daemon) && now - since >= max_connecting_time) {
+            unreachable_[daemon] = now + unreachable_time;
+            changed = true;
+        }
+    }
+    if (changed) {
+        update_pinned(now);
     }
+    return changed;
 }
 
 void relay_directory::update_connected()
@@ -92,14 +118,20 @@
     }
 }
 
-void relay_directory::update_pinned()
+bool relay_directory::may_pin(const std::string& daemon) const
+{
+    return !leaving_.contains(daemon) && !unreachable_.contains(daemon);
+}
+
+void relay_directory::update_pinned(instant now)
 {
-    pinned_.clear();
+    const std::map<std::string, instant> before = std::exchange(pinned_, {});
     for (const auto& [service, entry] : services_) {
         std::size_t missing = entry.assignment->self_assigned ? max_connected_assigned : relay_targets_used;
         for (const std::string& each : entry.assignment->targets) {
-            if (missing > 0 && !leaving_.contains(each)) {
-                pinned_.insert(each);
+            if (missing > 0 && may_pin(each)) {
+                const auto known = before.find(each);
+                pinned_.emplace(each, known == before.end() ? now : known->second);
                 --missing;
             }
         }
@@ -121,7 +153,7 @@
 std::optional<std::size_t> relay_directory::own_position(const std::string& service) const
 {
     const std::vector<std::string>& all = assigned(service);
-    const auto own = std::find(all.begin(), all.end(), self_);
+    const auto own = std::find(all.begin(), all.end(), self_->name);
     return own == all.end() ? std::nullopt : std::optional(static_cast<std::size_t>(own - all.begin()));
 }
 
--- a/src/relay/relay_directory.h
+++ b/src/relay/relay_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronfall/instant.h"
 #include "relay/service_assignment.h"
 
 #include <cstddef>
@@ -19,20 +20,25 @@
 /// owned by the decision thread.
 class relay_directory {
 public:
-    explicit relay_directory(std::string self) : self_(std::move(self)) {}
+    explicit relay_directory(relay_candidate self) : self_(std::move(self)) {}
 
     /// Sets the connections that each member of a service accepts (0: no limit), by service, and the registered
     /// daemons, without this one. Without effect if nothing has changed.
-    void configure(const std::map<std::string, std::uint32_t>& limits, const std::set<std::string>& daemons);
+    void configure(const std::map<std::string, std::uint32_t>& limits, const std::vector<relay_candidate>& daemons,
+                   instant now);
 
     /// Reports that a peer connected.
-    void connected(const std::string& peer);
+    void connected(const std::string& peer, instant now);
 
     /// Reports that the connection to a peer was lost.
-    void disconnected(const std::string& peer);
+    void disconnected(const std::string& peer, instant now);
 
     /// Reports that a peer shuts down. It is used only where no other assigned daemon is connected.
-    void leaves(const std::string& peer);
+    void leaves(const std::string& peer, instant now);
+
+    /// Replaces pinned daemons to which no connection comes about, by the next ones in order. Returns whether the
+    /// pinned daemons have changed. Call it every few tenths of a second.
+    bool replace_unreachable(instant now);
 
     /// Whether this daemon is assigned to the service. True for an unknown service.
     [[nodiscard]] bool is_assigned(const std::string& service) const;
@@ -52,7 +58,7 @@
     [[nodiscard]] const std::vector<std::string>& targets(const std::string& service) const;
 
     /// Daemons to stay connected to.
-    [[nodiscard]] const std::set<std::string>& pinned() const { return pinned_; }
+    [[nodiscard]] const std::map<std::string, instant>& pinned() const { return pinned_; }
 
     /// Whether there is a service that this daemon can serve only by relaying, and to which it can relay.
     [[nodiscard]] bool relays_somewhere() const { return relays_somewhere_; }
@@ -72,16 +78,18 @@
     };
 
     void update_connected();
-    void update_pinned();
+    void update_pinned(instant now);
+    [[nodiscard]] bool may_pin(const std::string& daemon) const;
     [[nodiscard]] const service_entry* find(const std::string& service) const;
 
-    std::string self_;
+    relay_candidate self_;
     std::map<std::string, std::uint32_t> limits_;
-    std::set<std::string> daemons_;
+    std::vector<relay_candidate> daemons_;
     std::set<std::string> peers_;
     std::set<std::string> leaving_;
     std::map<std::string, service_entry> services_;
-    std::set<std::string> pinned_;
+    std::map<std::string, instant> pinned_;      ///< Daemons, with the time since when they are pinned.
+    std::map<std::string, instant> unreachable_; ///< Daemons that are not pinned until the time stated.
     bool relays_somewhere_ = false;
 };
 
--- a/src/relay/service_assignment.h
+++ b/src/relay/service_assignment.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "citronfall/immutable.h"
+#include "relay/relay_candidate.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -20,10 +22,10 @@
 /// Which daemons hold connections to the members of one service, as one daemon sees it.
 using service_assignment = immutable<service_assignment_fields>;
 
-/// The assignment of a service whose members accept `limit` connections each, to some of the registered `daemons`, as
-/// the daemon `self` sees it. Thread-safe.
-[[nodiscard]] service_assignment make_service_assignment(const std::string& service,
-                                                         const std::vector<std::string>& daemons, std::uint32_t limit,
-                                                         const std::string& self);
+/// The assignments of all services as the daemon `self` sees them, by service. `limits` has the connections that one
+/// member accepts; `daemons` are the registered daemons, with `self`. Thread-safe.
+[[nodiscard]] std::map<std::string, service_assignment>
+make_service_assignments(const std::map<std::string, std::uint32_t>& limits,
+                         const std::vector<relay_candidate>& daemons, const relay_candidate& self);
 
 } // namespace citronfall
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -130,6 +130,7 @@
     gateway_simulation simulation({});
     const session_number session = simulation.open(0, "fresh");
     REQUIRE(simulation.execute(0, session, "BEGIN"));
+    simulation.run(20ms);
     CHECK(simulation.connections_in_use(simulation.leader()) == 0); // BEGIN alone needs no connection.
     CHECK(succeeded(simulation.execute(0, session, "WRITE x")));
     CHECK(simulation.connections_in_use(simulation.leader()) == 1);
--- a/tools/standin/service_model.cc
+++ b/tools/standin/service_model.cc
@@ -6,6 +6,9 @@
 namespace citronfall::standin {
 namespace {
 
+/// Longest time of an empty transaction with which a daemon probes the leader.
+constexpr duration max_probe_time = std::chrono::milliseconds(10);
+
 error failure(error_kind kind)
 {
     return error{{.kind = kind, .detail = "stand-in"}};
@@ -67,11 +70,14 @@
     return std::nullopt;
 }
 
-std::size_t service_model::open_transactions(const std::string& id) const
+std::size_t service_model::open_transactions(const std::string& id, instant now) const
 {
     const auto& all = members_.at(id).connections;
-    return static_cast<std::size_t>(
-        std::count_if(all.begin(), all.end(), [](const auto& each) { return each.second.transaction != 0; }));
+    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [now](const auto& each) {
+        const connection_state& connection = each.second;
+        const bool may_be_probe = !connection.ran_statement && now - connection.begun_at < max_probe_time;
+        return connection.transaction != 0 && !may_be_probe;
+    }));
 }
 
 member_reply_fields service_model::answer(const std::string& id, member_session session, const member_query& query,
@@ -84,6 +90,7 @@
     if (query->request_id.empty() && !parse_statement(connection, query->body)) {
         execute_internal(member, connection, query->body, reply, now);
     } else {
+        connection.ran_statement = true;
         run(id, connection, session, query, reply, now);
     }
     reply.state = transaction_state::none;
@@ -134,6 +141,8 @@
         reply.failure = failure(error_kind::replica_behind);
     } else {
         connection.transaction = ++last_transaction_;
+        connection.begun_at = now;
+        connection.ran_statement = false;
         connection.failed = false;
         connection.may_write = !after;
         connection.changes.clear();
--- a/tools/standin/service_model.h
+++ b/tools/standin/service_model.h
@@ -86,7 +86,9 @@
     [[nodiscard]] std::optional<std::string> leader() const; ///< Nothing if it is down.
     [[nodiscard]] bool paused(const std::string& member) const { return members_.at(member).paused_at.has_value(); }
     [[nodiscard]] bool leads(const std::string& member) const { return members_.at(member).leads; }
-    [[nodiscard]] std::size_t open_transactions(const std::string& member) const;
+    /// Transactions that are open on a member, without those that have just begun and run no statement: a daemon probes
+    /// the leader with an empty transaction.
+    [[nodiscard]] std::size_t open_transactions(const std::string& member, instant now) const;
     [[nodiscard]] log_position committed() const { return committed_; }
     [[nodiscard]] const std::vector<log_entry>& log() const { return log_; }
     [[nodiscard]] const std::vector<statement_run>& runs() const { return runs_; }
@@ -95,6 +97,8 @@
 private:
     struct connection_state {
         std::uint64_t transaction = 0; ///< Open transaction; 0: none.
+        instant begun_at{};            ///< Start of the transaction.
+        bool ran_statement = false;    ///< In the transaction.
         bool failed = false;
         bool may_write = false;
         log_position floor{}; ///< Minimum position of a read-only transaction.
