Let an unexpected exception end what it concerns, and not the process

Cause: an exception in a handler of any thread ended the process: the event loops of callers, members, peers and the store, and the decision thread, had no handler for it.

Each is logged as internal_error with its thread and counted in internal_errors_total.

--- a/src/caller_session/session_end_reason.h
+++ b/src/caller_session/session_end_reason.h
@@ -23,14 +23,15 @@
     transaction_overdue, ///< The daemon is shutting down, and a transaction was idle past its time.
     shutdown_overdue,    ///< The daemon is shutting down, and the time for running statements was over.
     process_ended,       ///< The process of the daemon ended.
+    internal_error,      ///< A message of the session could not be handled.
 };
 
 /// Names of the reasons in logs and metrics, in the order of the enumeration.
 inline constexpr auto session_end_reason_names = std::to_array<std::string_view>(
     {"caller_left", "caller_closed", "read_failed", "write_failed", "message_timeout", "unsent_limit",
      "connection_limit", "malformed_message", "pipeline_limit", "closed_by_daemon", "shutdown", "transaction_overdue",
-     "shutdown_overdue", "process_ended"});
-static_assert(session_end_reason_names.size() == static_cast<std::size_t>(session_end_reason::process_ended) + 1);
+     "shutdown_overdue", "process_ended", "internal_error"});
+static_assert(session_end_reason_names.size() == static_cast<std::size_t>(session_end_reason::internal_error) + 1);
 
 /// Name of a reason in logs and metrics. Thread-safe.
 [[nodiscard]] constexpr std::string_view session_end_reason_name(session_end_reason reason)
--- a/src/caller_session/session_table.cc
+++ b/src/caller_session/session_table.cc
@@ -317,6 +317,12 @@
     hooks_.ended(session_end{std::move(end)});
 }
 
+void session_table::end_after_failure(session_number number, instant now)
+{
+    delayed_starts_.erase(number);
+    close(number, session_end_reason::internal_error, session_error(error_kind::internal, "internal error"), now);
+}
+
 void session_table::report_process_end()
 {
     for (const auto& [number, session] : sessions_) {
--- a/src/caller_session/session_table.h
+++ b/src/caller_session/session_table.h
@@ -77,6 +77,9 @@
     /// Ends the statement in progress as if its time were over, and refuses further ones.
     void end_statements(session_number session, instant now);
 
+    /// Closes a session of which a message could not be handled. Nothing is promised about a statement in progress.
+    void end_after_failure(session_number session, instant now);
+
     /// Reports the sessions that are left when the process ends.
     void report_process_end();
 
--- a/src/ctl/session_end_explanation.cc
+++ b/src/ctl/session_end_explanation.cc
@@ -24,6 +24,7 @@
     "its connection was closed by the shutdown of the daemon, which ended idle transactions",
     "its connection was closed by the shutdown of the daemon, whose time for running statements was over",
     "the process of the daemon ended",
+    "its connection was closed because a message could not be handled (internal_error lines of the daemon)",
 });
 static_assert(explanations.size() == session_end_reason_names.size());
 
--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <atomic>
+#include <exception>
 #include <unordered_map>
 #include <utility>
 
@@ -78,7 +79,7 @@
     {
         accept();
         const auto work = asio::make_work_guard(context_);
-        context_.run();
+        run_event_loop(context_, options_.failed);
         error_code ignored;
         acceptor_.close(ignored); // Nothing reads a connection that the kernel would accept from now on.
     }
@@ -127,6 +128,7 @@
     void add_connection(tcp::socket socket);
     void update_message_timer(session_number session, const connection_ptr& connection);
     void wait_readable(session_number session, const connection_ptr& connection);
+    void read_guarded(session_number session, const connection_ptr& connection);
     void read(session_number session, const connection_ptr& connection);
     void pass_on_messages(session_number session, const connection_ptr& connection);
     bool may_close(session_number session, const std::optional<close_offer>& offer);
@@ -235,7 +237,7 @@
 {
     connection->socket.async_wait(tcp::socket::wait_read, [this, session, connection](error_code code) {
         if (!code && connection->reading) {
-            read(session, connection);
+            read_guarded(session, connection);
             if (connection->reading) {
                 wait_readable(session, connection);
             }
@@ -243,6 +245,19 @@
     });
 }
 
+/// An unexpected exception ends the caller's connection and no other.
+void caller_server::impl::read_guarded(session_number session, const connection_ptr& connection)
+{
+    try {
+        read(session, connection);
+    } catch (const std::exception& problem) {
+        drop(session, session_end_reason::read_failed);
+        if (options_.failed) {
+            options_.failed(problem.what());
+        }
+    }
+}
+
 void caller_server::impl::read(session_number session, const connection_ptr& connection)
 {
     error_code code;
@@ -293,7 +308,7 @@
     }
     const connection_ptr connection = found->second;
     if (connection->reading) {
-        read(session, connection);
+        read_guarded(session, connection);
     }
     connection->reading = connection->reading && !offer->last;
     const bool reads_on = connection->reading && connection->decoder.pending() != 0;
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -5,6 +5,7 @@
 #include "citronfall/bounded_ring.h"
 #include "citronfall/result.h"
 #include "gateway/connections_left.h"
+#include "socket/event_loop.h"
 
 #include <cstddef>
 #include <functional>
@@ -30,6 +31,7 @@
     std::function<void(const caller_event&)> notify; ///< Passes an event on; may block.
     std::size_t ring_capacity = 16'384;
     std::size_t max_sessions = 4096;
+    failure_hook failed{}; ///< Reports an unexpected exception.
 };
 
 /// Accepts connections from callers, decodes their messages and sends replies. Unsent bytes are buffered up to a bound;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -71,6 +71,7 @@
     void run_decisions();
     bool flush_rings();
     void push_store_call(const store_call& call);
+    [[nodiscard]] failure_hook failure_reporter(const char* thread);
     void reload();
     void log_connections_left();
 
@@ -99,14 +100,13 @@
                       .make_decoder = platform_.make_caller_decoder,
                       .encode = platform_.encode_reply,
                       .notify = [this](const caller_event& event) { push(event); },
-                      .max_sessions = max_sessions(settings_)}),
+                      .max_sessions = max_sessions(settings_),
+                      .failed = failure_reporter("callers")}),
       member_client_({.make_decoder = platform_.make_member_decoder,
                       .encode_open = platform_.encode_open,
                       .encode_queries = platform_.encode_queries,
-                      .notify =
-                          [this](const member_event& event) {
-                              push(event);
-                          }}),
+                      .notify = [this](const member_event& event) { push(event); },
+                      .failed = failure_reporter("members")}),
       peer_service_(
           {.self = peer_hello{{.daemon = settings_->name,
                                .region = settings_->region,
@@ -116,7 +116,8 @@
            .seeds = settings_->peers,
            .notify = [this](const peer_event& event) { push(event); },
            .random = make_random_generator(),
-           .max_accepted = std::max<std::size_t>(min_max_peers, settings_->max_descriptors / peer_descriptor_divisor)}),
+           .max_accepted = std::max<std::size_t>(min_max_peers, settings_->max_descriptors / peer_descriptor_divisor),
+           .failed = failure_reporter("peers")}),
       monitoring_server_({.address = settings_->probe,
                           .ready_path = settings_->probe_path,
                           .metrics_path = "/metrics",
@@ -129,7 +130,8 @@
 
 result<done> gateway::impl::build()
 {
-    auto store = platform_.make_store_client(settings_, [this](const store_answer& answer) { push(answer); });
+    auto store = platform_.make_store_client(
+        settings_, [this](const store_answer& answer) { push(answer); }, failure_reporter("store"));
     if (!ok(store)) {
         return error_of(store);
     }
@@ -195,6 +197,14 @@
     }
 }
 
+/// Reports an unexpected exception of a thread to the decision thread, which logs it.
+failure_hook gateway::impl::failure_reporter(const char* thread)
+{
+    return [this, thread](const std::string& what) {
+        push(thread_failure{{.thread = thread, .what = what}});
+    };
+}
+
 void gateway::impl::reload()
 {
     const auto read = platform_.read_settings();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,7 +33,8 @@
     std::function<result<replication_status>(const std::string&)> read_status;
     std::function<result<service_configuration>(std::string_view)> read_service_configuration;
     std::function<result<member_registration>(std::string_view, std::string_view)> read_member;
-    std::function<result<store_client_hooks>(const gateway_settings&, std::function<void(const store_answer&)>)>
+    std::function<result<store_client_hooks>(const gateway_settings&, std::function<void(const store_answer&)>,
+                                             failure_hook)>
         make_store_client;
     std::function<result<gateway_settings>()> read_settings; ///< Reads the settings file.
 };
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -3,6 +3,7 @@
 #include "citronfall/error_table.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace citronfall {
@@ -64,13 +65,55 @@
 void gateway_engine::handle(const gateway_event& event, instant now)
 {
     now_ = now;
-    std::visit([this, now](const auto& each) { on_event(each, now); }, event);
-    finish_event(now);
+    try {
+        std::visit([this, now](const auto& each) { on_event(each, now); }, event);
+        finish_event(now);
+    } catch (const std::exception& problem) {
+        note_failure("decision", problem.what());
+        abandon(event, now);
+    }
+}
+
+/// Ends what an event that could not be handled concerns, so that nobody waits for its effect.
+void gateway_engine::abandon(const gateway_event& event, instant now)
+{
+    try {
+        if (const auto* caller = std::get_if<caller_event>(&event)) {
+            sessions_->end_after_failure(std::visit([](const auto& each) { return each->session; }, *caller), now);
+        } else if (const auto* member = std::get_if<member_event>(&event)) {
+            pool_->discard(std::visit([](const auto& each) { return each->connection; }, *member), now);
+        }
+        finish_event(now);
+    } catch (const std::exception& problem) {
+        note_failure("decision", problem.what());
+    }
+}
+
+void gateway_engine::note_failure(const std::string& thread, const std::string& what)
+{
+    metrics_.count("internal_errors_total{thread=\"" + thread + "\"}");
+    log(log_priority::notable, "internal_error", "thread=" + thread + " detail=\"" + what + "\"");
+}
+
+void gateway_engine::on_event(const thread_failure& failure, instant now)
+{
+    static_cast<void>(now);
+    note_failure(failure->thread, failure->what);
 }
 
 void gateway_engine::tick(instant now)
 {
     now_ = now;
+    try {
+        perform_due(now);
+        finish_event(now);
+    } catch (const std::exception& problem) {
+        note_failure("decision", problem.what());
+    }
+}
+
+void gateway_engine::perform_due(instant now)
+{
     if (last_tick_ != instant{} && now - last_tick_ > stall_limit) {
         log(log_priority::notable, "process_stalled", "for_ms=" + std::to_string((now - last_tick_).count() / 1000));
         monitor_->note_process_stall(now);
@@ -110,7 +153,6 @@
         next_metrics_ = now + metrics_interval;
         publish_metrics(now);
     }
-    finish_event(now);
 }
 
 instant gateway_engine::next(instant now) const
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -90,6 +90,10 @@
     void on_event(const store_answer& answer, instant now);
     void on_event(const peer_event& event, instant now);
     void on_event(const control_event& event, instant now);
+    void on_event(const thread_failure& failure, instant now);
+    void note_failure(const std::string& thread, const std::string& what);
+    void abandon(const gateway_event& event, instant now);
+    void perform_due(instant now);
     void on_peer_message(const std::string& peer, const peer_message& message, instant now);
     void answer_suspicion(const std::string& peer, const suspicion_query& query, instant now);
     void handle_primary_notice(const primary_notice& notice, instant now);
--- a/src/gateway/member_client.cc
+++ b/src/gateway/member_client.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <atomic>
+#include <exception>
 #include <unordered_map>
 #include <utility>
 
@@ -48,7 +49,7 @@
     void run()
     {
         const auto work = asio::make_work_guard(context_);
-        context_.run();
+        run_event_loop(context_, options_.failed);
     }
 
     void stop()
@@ -180,8 +181,15 @@
         close_and_notify(id, close_reason(code));
         return;
     }
-    connection->decoder.add({buffer_.data(), count});
-    deliver_answers(id, connection);
+    try {
+        connection->decoder.add({buffer_.data(), count});
+        deliver_answers(id, connection);
+    } catch (const std::exception& problem) {
+        close_and_notify(id, connection_end_reason::protocol_error);
+        if (options_.failed) {
+            options_.failed(problem.what());
+        }
+    }
     if (connections_.contains(id)) {
         wait_readable(id, connection);
     }
--- a/src/gateway/member_client.h
+++ b/src/gateway/member_client.h
@@ -5,6 +5,7 @@
 #include "citronfall/result.h"
 #include "pool/member_command.h"
 #include "pool/member_event.h"
+#include "socket/event_loop.h"
 
 #include <cstddef>
 #include <functional>
@@ -31,6 +32,7 @@
     std::size_t ring_capacity = 16'384;
     duration connect_timeout = std::chrono::milliseconds(400); ///< A running member accepts within a few round trips.
     duration start_timeout = std::chrono::milliseconds(1500);  ///< A new session may have to wait for a free slot.
+    failure_hook failed{};                                     ///< Reports an unexpected exception.
 };
 
 /// Opens connections to members, sends statements and decodes the answers.
--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -3,6 +3,7 @@
 #include "peer/peer_codec.h"
 #include "socket/socket_options.h"
 
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -139,19 +140,33 @@
             self->close_with(peer_close_reason::lost);
             return;
         }
-        const auto message = peer_codec::decode(self->body_);
-        if (!ok(message)) {
+        if (!self->pass_on()) {
             self->close_with(peer_close_reason::bad_frame);
-            return;
-        }
-        self->received_at_ = clock::now();
-        self->options_.received(value_of(message), self->body_.size() + self->length_.size());
-        if (!self->closed_) {
+        } else if (!self->closed_) {
             self->read_length();
         }
     });
 }
 
+/// Decodes the received frame and passes it on. Returns false if it is no valid message or could not be handled.
+bool peer_connection::pass_on()
+{
+    received_at_ = clock::now();
+    try {
+        const auto message = peer_codec::decode(body_);
+        if (!ok(message)) {
+            return false;
+        }
+        options_.received(value_of(message), body_.size() + length_.size());
+        return true;
+    } catch (const std::exception& problem) {
+        if (options_.failed) {
+            options_.failed(problem.what());
+        }
+        return false;
+    }
+}
+
 /// Writes all queued frames at once, up to a limit on their number.
 void peer_connection::write_next()
 {
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -3,6 +3,7 @@
 #include "citronfall/instant.h"
 #include "citronfall/peer_close_reason.h"
 #include "citronfall/peer_message.h"
+#include "socket/event_loop.h"
 
 #include <array>
 #include <cstddef>
@@ -25,6 +26,7 @@
     std::function<void(peer_close_reason)> closed;                  ///< Called once, unless close() was called before.
     duration receive_timeout;    ///< The connection is closed if no frame arrives for this long.
     duration keepalive_interval; ///< A keepalive is sent if nothing has been sent for this long.
+    failure_hook failed{};       ///< Reports an unexpected exception.
 };
 
 /// One TCP connection to another daemon that carries frames in both directions.
@@ -54,6 +56,7 @@
 private:
     void read_length();
     void read_body(std::size_t length);
+    [[nodiscard]] bool pass_on();
     void write_next();
     void written(std::size_t frames);
     void start_keepalive();
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -101,7 +101,7 @@
         accept();
         maintain();
         const auto work = asio::make_work_guard(context_);
-        context_.run();
+        run_event_loop(context_, options_.failed);
         for (const auto& [number, each] : links_) {
             each.connection->close();
         }
@@ -309,21 +309,22 @@
     const std::uint64_t number = ++last_link_;
     const auto connection = std::make_shared<peer_connection>(
         std::move(socket),
-        peer_connection_options{.received =
-                                    [this, number](const peer_message& message, std::size_t bytes) {
-                                        ++counters_.frames_received;
-                                        counters_.bytes_received += bytes;
-                                        handle_message(number, message);
-                                    },
-                                .sent =
-                                    [this](std::size_t bytes) {
-                                        ++counters_.frames_sent;
-                                        counters_.bytes_sent += bytes;
-                                    },
-                                .closed = [this, number](peer_close_reason reason) { handle_close(number, reason); },
-                                .receive_timeout = options_.receive_timeout,
-                                .keepalive_interval = std::min(first_keepalive_interval,
-                                                               keepalive_interval_for(options_.receive_timeout))});
+        peer_connection_options{
+            .received =
+                [this, number](const peer_message& message, std::size_t bytes) {
+                    ++counters_.frames_received;
+                    counters_.bytes_received += bytes;
+                    handle_message(number, message);
+                },
+            .sent =
+                [this](std::size_t bytes) {
+                    ++counters_.frames_sent;
+                    counters_.bytes_sent += bytes;
+                },
+            .closed = [this, number](peer_close_reason reason) { handle_close(number, reason); },
+            .receive_timeout = options_.receive_timeout,
+            .keepalive_interval = std::min(first_keepalive_interval, keepalive_interval_for(options_.receive_timeout)),
+            .failed = options_.failed});
     links_.emplace(number, link{.connection = connection, .address = address, .daemon = {}});
     static_cast<void>(connection->send(peer_codec::encode(options_.self)));
     return number;
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -6,6 +6,7 @@
 #include "citronfall/peer_hello.h"
 #include "citronfall/peer_service_command.h"
 #include "citronfall/result.h"
+#include "socket/event_loop.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +34,7 @@
     /// A connection is closed if no frame arrives for this long. The kernel notices sooner that an instance is gone;
     /// this is for a process that stands still.
     duration receive_timeout = std::chrono::seconds(30);
+    failure_hook failed{}; ///< Reports an unexpected exception.
 };
 
 /// Network connections to other daemons. A frame is a 4-byte little-endian length followed by a FlatBuffers message.
