--- a/review/build.sh
+++ b/review/build.sh
@@ -6,17 +6,20 @@
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -Wno-maybe-uninitialized -I. -Iinclude -Isrc -Ischema -Itools
     -DELPP_THREAD_SAFE -DELPP_NO_DEFAULT_LOG_FILE)
-sources=(tools/standin/*.cc tools/soak/*.cc platform/standin/*.cc review/common/*.cc review/[0-9]/*.cc)
 compile() {
     local object=$out/${1//\//_}.o
-    [ "$object" -nt "$1" ] || g++ "${flags[@]}" -c "$1" -o "$object"
+    # The project's stand-ins are compiled once; the review's own sources are few.
+    if [[ $1 == review/* || ! -e $object ]]; then
+        g++ "${flags[@]}" -c "$1" -o "$object"
+    fi
 }
-export -f compile
-for source in "${sources[@]}"; do
+pids=()
+for source in tools/standin/*.cc tools/soak/*.cc platform/standin/*.cc review/common/*.cc review/[0-9]/*.cc; do
     compile "$source" &
-    while [ "$(jobs -rp | wc -l)" -ge 6 ]; do wait -n; done
+    pids+=($!)
+    while [ "$(jobs -rp | wc -l)" -ge 6 ]; do sleep 0.05; done
 done
-for job in $(jobs -p); do wait "$job"; done
+for pid in "${pids[@]}"; do wait "$pid"; done
 shared=("$out"/tools_*.o "$out"/platform_*.o "$out"/review_common_*.o)
 for source in review/[0-9]/*.cc; do
     name=$(basename "$source" .cc)
--- a/review/common/deployment.cc
+++ b/review/common/deployment.cc
@@ -43,8 +43,12 @@
         .configuration = citronfall::standin::sample_deployment(1, static_cast<std::uint32_t>(options_.max_connections),
                                                                 {}, statement_timeout)};
     for (std::size_t i = 0; i < members; ++i) {
-        platform.members.push_back(
-            loopback_member{.id = "m" + std::to_string(i), .address = citronfall::standin::free_address()});
+        loopback_member member{.id = "m" + std::to_string(i), .address = citronfall::standin::free_address()};
+        if (i < options_.advertised.size()) {
+            member.advertised_address = options_.advertised[i];
+        }
+        member_addresses_.push_back(member.address);
+        platform.members.push_back(std::move(member));
     }
     if (options_.service_time) {
         platform.service_time = options_.service_time;
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -23,6 +23,7 @@
     std::vector<std::string> data_centers;      ///< Of the daemons.
     std::size_t max_connections = 22;           ///< Connections that a member accepts.
     std::function<citronfall::duration(const std::string&)> service_time; ///< Run time of a caller's statement.
+    std::vector<std::string> advertised{}; ///< Addresses that the members register, if not their own.
 };
 
 /// A stand-in platform with one service of three members, and daemons as separate processes.
@@ -54,6 +55,7 @@
 
     [[nodiscard]] std::string callers(std::size_t daemon) const { return all_.at(daemon).callers; }
     [[nodiscard]] std::string peers(std::size_t daemon) const { return all_.at(daemon).peers; }
+    [[nodiscard]] const std::string& member(std::size_t index) const { return member_addresses_.at(index); }
     [[nodiscard]] std::string log_file(std::size_t daemon) const;
     [[nodiscard]] citronfall::soak::child_process& process(std::size_t daemon) { return *all_.at(daemon).process; }
     [[nodiscard]] citronfall::platform::standin::loopback_platform& platform() { return *platform_; }
@@ -75,6 +77,7 @@
 
     deployment_options options_;
     citronfall::standin::http_server loop_;
+    std::vector<std::string> member_addresses_;
     std::string store_;
     std::string promotion_address_;
     std::unique_ptr<citronfall::platform::standin::loopback_platform> platform_;
