Log how relayed statements and transactions end

The lines of the relay could not tell who had ended a relayed transaction: the daemon that gave up one of its statements, the same daemon when the answer came late, or a lost connection.

- relayed_statement_given_up, relayed_answer_late on the daemon that relays;
- relayed_transaction_opened, relayed_transaction_ended with the reason, relayed_transaction_unknown on the one that runs the statements.

statement_relayed also names the number of the statement and the transaction. No change of behaviour.

--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -22,6 +22,11 @@
 /// Added to the statement's own timeout for the round trip to the peer.
 constexpr duration round_trip_allowance = std::chrono::milliseconds(50);
 
+std::string log_fields(const std::string& peer, std::uint64_t transaction)
+{
+    return "peer=" + peer + " transaction=" + std::to_string(transaction);
+}
+
 /// The error that the caller gets if the peer is lost while it runs the statement.
 error_kind loss_error_kind(const task_request& request)
 {
@@ -70,14 +75,15 @@
 {
     const task_request& request = sent.request;
     const auto remote = remote_transactions_.find(request->connection);
+    const std::uint64_t transaction = remote == remote_transactions_.end() ? 0 : remote->second.transaction;
     const duration age = request->newest_own_commit ? now - (*request->newest_own_commit)->known_since : duration{};
     hooks_.log("statement_relayed", "id=" + request->request_id + " session=" + std::to_string(request->session) +
-                                        " peer=" + sent.peer + " kind=" + transaction_step_name(request->kind));
-    hooks_.send(sent.peer, relayed_statement{
-                               {.number = number,
-                                .request = request,
-                                .own_commit_age = age,
-                                .transaction = remote == remote_transactions_.end() ? 0 : remote->second.transaction}});
+                                        " peer=" + sent.peer + " kind=" + transaction_step_name(request->kind) +
+                                        " number=" + std::to_string(number) +
+                                        " transaction=" + std::to_string(transaction));
+    hooks_.send(
+        sent.peer,
+        relayed_statement{{.number = number, .request = request, .own_commit_age = age, .transaction = transaction}});
 }
 
 /// Relays a statement that a leaving daemon refused to another one, if there is one.
@@ -116,6 +122,7 @@
     if (found == sent_.end()) {
         return task >= first_relay_number;
     }
+    log_given_up(task, found->second, "caller_left");
     hooks_.send(found->second.peer, relayed_end{{.number = task}});
     forget_sent(task);
     return true;
@@ -152,6 +159,10 @@
                 {.position = (*fields.newest_own_commit)->position, .known_since = now - statement->own_commit_age}};
         }
     });
+    if (statement->transaction != 0 && !owned) {
+        hooks_.log("relayed_transaction_unknown",
+                   log_fields(peer, statement->transaction) + " id=" + statement->request->request_id);
+    }
     running_[session] = {peer, statement->number, 0};
     // The connection is not idle while the statement runs; finished() adds it again.
     idle_transactions_.erase(statement->transaction);
@@ -173,6 +184,11 @@
     const running_statement done = found->second;
     running_.erase(found);
     if (outcome->connection != 0) {
+        if (request->connection == 0) {
+            hooks_.log("relayed_transaction_opened", log_fields(done.peer, outcome->connection) +
+                                                         " id=" + request->request_id +
+                                                         " number=" + std::to_string(done.number));
+        }
         idle_transactions_[outcome->connection] = done.peer;
     }
     hooks_.send(done.peer,
@@ -185,6 +201,7 @@
     if (found == idle_transactions_.end()) {
         return false;
     }
+    log_ended(found->second, connection, "connection_lost");
     hooks_.send(found->second, relayed_outcome{{.number = 0, .transaction = connection}});
     idle_transactions_.erase(found);
     return true;
@@ -193,6 +210,7 @@
 void statement_relay::end_idle_transactions(instant now)
 {
     for (const auto& [connection, peer] : std::exchange(idle_transactions_, {})) {
+        log_ended(peer, connection, "leaving");
         hooks_.send(peer, relayed_outcome{{.number = 0, .transaction = connection}});
         hooks_.release(connection, now);
     }
@@ -213,6 +231,8 @@
     }
     const auto found = sent_.find(outcome->number);
     if (found == sent_.end()) {
+        hooks_.log("relayed_answer_late",
+                   log_fields(peer, outcome->transaction) + " number=" + std::to_string(outcome->number));
         // Already timed out or cancelled: roll back the transaction that the statement may have left open.
         if (outcome->transaction != 0) {
             hooks_.send(peer, relayed_end{{.transaction = outcome->transaction}});
@@ -245,6 +265,7 @@
     if (end->transaction != 0) {
         const auto open = idle_transactions_.find(end->transaction);
         if (open != idle_transactions_.end() && open->second == peer) {
+            log_ended(peer, end->transaction, "asked");
             idle_transactions_.erase(open);
             hooks_.release(end->transaction, now);
         }
@@ -268,6 +289,7 @@
         }
     }
     for (const task_number number : lost) {
+        log_given_up(number, sent_.at(number), "peer_lost");
         fail_lost(number, now);
     }
     std::vector<connection_number> ended;
@@ -298,10 +320,23 @@
         return each.second == peer;
     });
     for (const connection_number connection : open) {
+        log_ended(peer, connection, "peer_lost");
         hooks_.release(connection, now);
     }
 }
 
+void statement_relay::log_given_up(task_number number, const sent_statement& sent, const char* reason) const
+{
+    hooks_.log("relayed_statement_given_up",
+               "id=" + sent.request->request_id + " session=" + std::to_string(sent.request->session) +
+                   " peer=" + sent.peer + " number=" + std::to_string(number) + " reason=" + reason);
+}
+
+void statement_relay::log_ended(const std::string& peer, std::uint64_t transaction, const char* reason) const
+{
+    hooks_.log("relayed_transaction_ended", log_fields(peer, transaction) + " reason=" + reason);
+}
+
 void statement_relay::fail_lost(task_number number, instant now)
 {
     const auto found = sent_.find(number);
@@ -321,6 +356,7 @@
 bool statement_relay::expire(task_number task, instant now)
 {
     if (const auto found = sent_.find(task); found != sent_.end()) {
+        log_given_up(task, found->second, "timeout");
         hooks_.send(found->second.peer, relayed_end{{.number = task}});
         fail_lost(task, now);
     }
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -115,6 +115,8 @@
     void remove_pending(const std::string& peer);
     bool send_elsewhere(task_number number, const std::string& refused_by, instant now);
     void fail_lost(task_number number, instant now);
+    void log_given_up(task_number number, const sent_statement& sent, const char* reason) const;
+    void log_ended(const std::string& peer, std::uint64_t transaction, const char* reason) const;
 
     statement_relay_hooks hooks_;
     std::map<task_number, sent_statement> sent_;
