Keep a relayed transaction when another daemon's statement names it

What callers saw: a transaction that one daemon relays to another fails with ABORTED at its next statement, and its connection to the member stays in use until the relaying daemon disconnects. Not seen outside of the test.

Cause: the daemon that runs a relayed statement checked the owner of the transaction before it used the connection, but forgot the transaction whoever named it. A name could come from another daemon, since a connection number was used again for the next daemon's transaction.

Evidence: "a statement that names the transaction of another daemon leaves it alone" fails before the change (tests/relay_names_test.cc, connection 0 in place of 5).

Change: only the owner's statement takes the transaction out of the idle ones.

Measured: the 24 cases tagged [relay] pass.

--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -164,8 +164,9 @@
                    log_fields(peer, statement->transaction) + " id=" + statement->request->request_id);
     }
     running_[session] = {peer, statement->number, 0};
-    // The connection is not idle while the statement runs; finished() adds it again.
-    idle_transactions_.erase(statement->transaction);
+    if (owned) {
+        idle_transactions_.erase(open); // Not idle while the statement runs; finished() adds it again.
+    }
     const task_number task = hooks_.run(request, now);
     if (const auto found = running_.find(session); found != running_.end()) {
         found->second.task = task;
