Name relayed transactions for good, not by their connection

On services with fewer connections than daemons, after a link between two daemons had held back one direction for 1.1 s.

Cause: a daemon named a relayed transaction to its peer by the number of the member connection. The pool gives the connection to the next transaction, often of the same peer, so a message about the former transaction applied to the next one. Three kinds of messages did: the end that a daemon sends when it gives up a statement, the end that it sends when the answer comes late, and, after a loss of the peer connection that only the running daemon noticed, the statements themselves.

Change: the daemon that runs the transactions assigns each a name from its numbers, which differ between its runs. A late end names a transaction that is gone and has no effect.

The cases tagged [relay] pass.

--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -149,11 +149,11 @@
     }
     const session_number session = first_relay_number + ++last_number_;
     const auto open = idle_transactions_.find(statement->transaction);
-    const bool owned = open != idle_transactions_.end() && open->second == peer;
+    const bool owned = open != idle_transactions_.end() && open->second.peer == peer;
     const task_request request = with(statement->request, [&](task_request_fields& fields) {
         fields.session = session;
         // 0 (no connection) if the transaction has ended or was not opened by this peer.
-        fields.connection = owned ? statement->transaction : 0;
+        fields.connection = owned ? open->second.connection : 0;
         if (fields.newest_own_commit) {
             fields.newest_own_commit = min_read_position{
                 {.position = (*fields.newest_own_commit)->position, .known_since = now - statement->own_commit_age}};
@@ -163,9 +163,9 @@
         hooks_.log("relayed_transaction_unknown",
                    log_fields(peer, statement->transaction) + " id=" + statement->request->request_id);
     }
-    running_[session] = {peer, statement->number, 0};
+    running_[session] = {.peer = peer, .number = statement->number, .transaction = owned ? statement->transaction : 0};
     if (owned) {
-        idle_transactions_.erase(open); // Not idle while the statement runs; finished() adds it again.
+        idle_transactions_.erase(open); // finished() adds it again.
     }
     const task_number task = hooks_.run(request, now);
     if (const auto found = running_.find(session); found != running_.end()) {
@@ -184,36 +184,45 @@
     }
     const running_statement done = found->second;
     running_.erase(found);
-    if (outcome->connection != 0) {
-        if (request->connection == 0) {
-            hooks_.log("relayed_transaction_opened", log_fields(done.peer, outcome->connection) +
-                                                         " id=" + request->request_id +
-                                                         " number=" + std::to_string(done.number));
-        }
-        idle_transactions_[outcome->connection] = done.peer;
+    const std::uint64_t name = outcome->connection == 0 ? 0 : name_of_transaction(request, done);
+    if (name != 0) {
+        idle_transactions_[name] = {.peer = done.peer, .connection = outcome->connection};
+    }
+    hooks_.send(done.peer, relayed_outcome{{.number = done.number, .outcome = outcome, .transaction = name}});
+}
+
+/// Name of the transaction that a statement has left open.
+std::uint64_t statement_relay::name_of_transaction(const task_request& request, const running_statement& done)
+{
+    if (done.transaction != 0) {
+        return done.transaction;
     }
-    hooks_.send(done.peer,
-                relayed_outcome{{.number = done.number, .outcome = outcome, .transaction = outcome->connection}});
+    const std::uint64_t name = first_relay_number + ++last_number_;
+    hooks_.log("relayed_transaction_opened",
+               log_fields(done.peer, name) + " id=" + request->request_id + " number=" + std::to_string(done.number));
+    return name;
 }
 
 bool statement_relay::relayed_connection_lost(connection_number connection)
 {
-    const auto found = idle_transactions_.find(connection);
+    const auto found = std::find_if(idle_transactions_.begin(), idle_transactions_.end(),
+                                    [&](const auto& each) { return each.second.connection == connection; });
     if (found == idle_transactions_.end()) {
         return false;
     }
-    log_ended(found->second, connection, "connection_lost");
-    hooks_.send(found->second, relayed_outcome{{.number = 0, .transaction = connection}});
+    const auto [name, lost] = *found;
     idle_transactions_.erase(found);
+    log_ended(lost.peer, name, "connection_lost");
+    hooks_.send(lost.peer, relayed_outcome{{.number = 0, .transaction = name}});
     return true;
 }
 
 void statement_relay::end_idle_transactions(instant now)
 {
-    for (const auto& [connection, peer] : std::exchange(idle_transactions_, {})) {
-        log_ended(peer, connection, "leaving");
-        hooks_.send(peer, relayed_outcome{{.number = 0, .transaction = connection}});
-        hooks_.release(connection, now);
+    for (const auto& [name, each] : std::exchange(idle_transactions_, {})) {
+        log_ended(each.peer, name, "leaving");
+        hooks_.send(each.peer, relayed_outcome{{.number = 0, .transaction = name}});
+        hooks_.release(each.connection, now);
     }
 }
 
@@ -265,10 +274,11 @@
 {
     if (end->transaction != 0) {
         const auto open = idle_transactions_.find(end->transaction);
-        if (open != idle_transactions_.end() && open->second == peer) {
+        if (open != idle_transactions_.end() && open->second.peer == peer) {
+            const connection_number connection = open->second.connection;
             log_ended(peer, end->transaction, "asked");
             idle_transactions_.erase(open);
-            hooks_.release(end->transaction, now);
+            hooks_.release(connection, now);
         }
     }
     const auto running = std::find_if(running_.begin(), running_.end(), [&](const auto& each) {
@@ -315,13 +325,13 @@
     }
     std::vector<connection_number> open;
     std::erase_if(idle_transactions_, [&](const auto& each) {
-        if (each.second == peer) {
-            open.push_back(each.first);
+        if (each.second.peer == peer) {
+            log_ended(peer, each.first, "peer_lost");
+            open.push_back(each.second.connection);
         }
-        return each.second == peer;
+        return each.second.peer == peer;
     });
     for (const connection_number connection : open) {
-        log_ended(peer, connection, "peer_lost");
         hooks_.release(connection, now);
     }
 }
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -33,9 +33,10 @@
 /// Relays statements from daemons that hold no connections to a service's members to daemons that hold some. Used for
 /// services whose members accept fewer connections than there are daemons.
 ///
-/// A transaction stays on the daemon that ran its first statement; the sender refers to it by a connection number from
-/// a reserved range. The loss of a peer is reported like a lost connection to a member. Not thread-safe: owned by the
-/// decision thread.
+/// A transaction stays on the daemon that ran its first statement. That daemon names it for the sender; a name denotes
+/// one transaction for good, because messages about a transaction may arrive after its connection has begun another
+/// one. Within the sender it has a connection number from a reserved range. The loss of a peer is reported like a lost
+/// connection to a member. Not thread-safe: owned by the decision thread.
 class statement_relay {
 public:
     /// `incarnation` distinguishes this run of the daemon from earlier ones: their numbers differ, so that a late
@@ -108,6 +109,12 @@
         std::string peer;
         std::uint64_t number = 0;
         task_number task = 0;
+        std::uint64_t transaction = 0; ///< Name of the transaction that it continues; 0: none.
+    };
+    /// Transaction of a peer that is open on a connection of this daemon and runs no statement.
+    struct idle_transaction {
+        std::string peer;
+        connection_number connection = 0;
     };
 
     void send(task_number number, const sent_statement& sent, instant now);
@@ -115,6 +122,7 @@
     void remove_pending(const std::string& peer);
     bool send_elsewhere(task_number number, const std::string& refused_by, instant now);
     void fail_lost(task_number number, instant now);
+    [[nodiscard]] std::uint64_t name_of_transaction(const task_request& request, const running_statement& done);
     void log_given_up(task_number number, const sent_statement& sent, const char* reason) const;
     void log_ended(const std::string& peer, std::uint64_t transaction, const char* reason) const;
 
@@ -123,9 +131,8 @@
     std::map<std::string, std::size_t> pending_; ///< Number of statements in sent_, by peer.
     timer_queue<task_number> deadlines_;
     std::map<connection_number, remote_transaction> remote_transactions_;
-    std::map<session_number, running_statement> running_; ///< By the session number that this relay assigned.
-    std::map<connection_number, std::string>
-        idle_transactions_; ///< Peers of relayed transactions that are idle, by connection.
+    std::map<session_number, running_statement> running_;         ///< By the session number that this relay assigned.
+    std::map<std::uint64_t, idle_transaction> idle_transactions_; ///< By name.
     std::uint64_t last_number_;
 };
 
--- a/tests/relay_names_test.cc
+++ b/tests/relay_names_test.cc
@@ -1,8 +1,12 @@
+#include "relay/assigned_daemons.h"
 #include "relay/statement_relay.h"
+#include "support/booking_desk.h"
+#include "support/gateway_simulation.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -85,6 +89,79 @@
     statement_relay relay; ///< Last, because its hooks use the other members.
 };
 
+/// Four daemons before members that accept eight connections each: one daemon relays to the three others.
+gateway_simulation::options few_connections(std::uint64_t seed)
+{
+    return {.daemons = 4, .max_connections = 8, .seed = seed};
+}
+
+std::size_t relaying_daemon(const gateway_simulation::options& chosen)
+{
+    std::vector<relay_candidate> daemons;
+    for (std::size_t i = 0; i < chosen.daemons; ++i) {
+        daemons.push_back(relay_candidate{{.name = "d" + std::to_string(i), .data_center = "dc"}});
+    }
+    const auto assigned = assigned_daemons({{"ledger", chosen.max_connections}}, daemons).at("ledger");
+    for (std::size_t i = 0; i < chosen.daemons; ++i) {
+        if (std::find(assigned.begin(), assigned.end(), "d" + std::to_string(i)) == assigned.end()) {
+            return i;
+        }
+    }
+    FAIL("each daemon is assigned");
+    return 0;
+}
+
+/// Booking desks on the daemon that relays.
+struct relayed_desks {
+    explicit relayed_desks(std::uint64_t seed)
+        : chosen(few_connections(seed)), simulation(chosen), relaying(relaying_daemon(chosen)), random(seed)
+    {
+        for (std::uint64_t i = 0; i < 6; ++i) {
+            desks.emplace_back(simulation, relaying, "desk" + std::to_string(i), 100 * seed + i);
+        }
+    }
+
+    void run(duration length)
+    {
+        for (const instant end = simulation.now() + length; simulation.now() < end;) {
+            for (booking_desk& desk : desks) {
+                desk.step();
+            }
+            simulation.run(2ms);
+        }
+    }
+
+    void run_between(std::uint64_t least_ms, std::uint64_t most_ms)
+    {
+        run(std::chrono::milliseconds(least_ms + random() % (most_ms - least_ms)));
+    }
+
+    /// Holds back what the relaying daemon and the others send each other, in one direction.
+    void hold(bool answers, bool held)
+    {
+        for (std::size_t other = 0; other < chosen.daemons; ++other) {
+            if (other != relaying) {
+                simulation.hold_peer_messages(answers ? other : relaying, answers ? relaying : other, held);
+            }
+        }
+    }
+
+    void check()
+    {
+        run(2s);
+        CHECK(simulation.promotions().empty());
+        const auto broken = broken_promises(simulation, desks);
+        INFO(broken.size() << " broken, the first: " << (broken.empty() ? "" : broken.front()));
+        CHECK(broken.empty());
+    }
+
+    gateway_simulation::options chosen;
+    gateway_simulation simulation;
+    std::size_t relaying;
+    std::mt19937_64 random;
+    std::vector<booking_desk> desks;
+};
+
 } // namespace
 
 // Guards against a transaction whose connection stays in use for good because another daemon named it.
@@ -97,3 +174,68 @@
     subject.receive("d1", 2, name);
     CHECK(subject.requests.back()->connection == 5);
 }
+
+// Guards against the statements of one caller's transaction that run in another one, after answers came too late.
+TEST_CASE("relayed transactions stay apart while links between daemons hold back one direction", "[relay]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const bool answers : {true, false}) {
+            INFO("seed " << seed << (answers ? ", answers held" : ", statements held"));
+            relayed_desks subject(seed);
+            for (int cut = 0; cut < 6; ++cut) {
+                subject.run_between(300, 1500);
+                subject.hold(answers, true);
+                subject.run_between(1, 1300); // TCP reports a connection whose data is not acknowledged for longer.
+                subject.hold(answers, false);
+            }
+            subject.check();
+        }
+    }
+}
+
+// Guards against the statements of one caller's transaction that run in another one, after the daemon that ran it had
+// rolled it back for a lost connection that the relaying daemon did not notice.
+TEST_CASE("relayed transactions stay apart while daemons alone take a connection between them for lost", "[relay]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        relayed_desks subject(seed);
+        for (int loss = 0; loss < 12; ++loss) {
+            subject.run_between(100, 700);
+            subject.simulation.lose_peers_alone(subject.random() % subject.chosen.daemons);
+        }
+        subject.check();
+    }
+}
+
+// Guards against the end of a transaction that rolls back the next one on its connection. Daemons of the release before
+// name a transaction when they give up one of its statements, and once more when the answer comes.
+TEST_CASE("an end that arrives twice does not end the next transaction on the connection", "[relay]")
+{
+    observed_relay subject(1);
+    const std::uint64_t first = subject.run_open("d1", 1, 0, 5);
+    CHECK(subject.run_open("d1", 2, first, 5) == first);
+    subject.relay.handle("d1", relayed_end{{.transaction = first}}, {});
+    CHECK(subject.released == std::vector<connection_number>{5});
+    const std::uint64_t second = subject.run_open("d1", 3, 0, 5);
+    subject.relay.handle("d1", relayed_end{{.transaction = first}}, {});
+    CHECK(subject.released.size() == 1);
+    subject.receive("d1", 4, first);
+    CHECK(subject.requests.back()->connection == 0);
+    subject.receive("d1", 5, second);
+    CHECK(subject.requests.back()->connection == 5);
+}
+
+// Guards against statements of a transaction that ended with a daemon's former run and that get into one of its new
+// run.
+TEST_CASE("a restarted daemon does not take up the transactions of its former run", "[relay]")
+{
+    observed_relay former(1);
+    observed_relay restarted(2);
+    const std::uint64_t name = former.run_open("d1", 1, 0, 5);
+    restarted.run_open("d1", 2, 0, 5);
+    restarted.receive("d1", 3, name);
+    CHECK(restarted.requests.back()->connection == 0);
+    restarted.relay.handle("d1", relayed_end{{.transaction = name}}, {});
+    CHECK(restarted.released.empty());
+}
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -660,6 +660,18 @@
     return counts;
 }
 
+std::vector<std::set<std::string>> gateway_simulation::commits() const
+{
+    std::vector<std::set<std::string>> all;
+    for (const standin::log_entry& entry : service_.log()) {
+        std::set<std::string>& items = all.emplace_back();
+        for (const auto& [item, value] : entry.changes) {
+            items.insert(item);
+        }
+    }
+    return all;
+}
+
 void gateway_simulation::throw_on_next_command(std::size_t daemon)
 {
     daemons_[daemon]->throws = true;
@@ -785,11 +797,41 @@
         const std::string name = "d" + std::to_string(i);
         if (i != from && !daemons_[i]->isolated && !daemons_[from]->isolated &&
             ((*command)->to.empty() || (*command)->to == name)) {
-            deliver(i,
-                    peer_event{{.from = "d" + std::to_string(from),
-                                .kind = peer_event_kind::received,
-                                .message = (*command)->message}},
-                    delivery_delay(link_name("to peer", from, i)));
+            if (const auto held = held_.find({from, i}); held != held_.end()) {
+                held->second.push_back((*command)->message);
+            } else {
+                deliver_peer_message(from, i, (*command)->message);
+            }
+        }
+    }
+}
+
+void gateway_simulation::deliver_peer_message(std::size_t from, std::size_t to, const peer_message& message)
+{
+    deliver(to, peer_event{{.from = "d" + std::to_string(from), .kind = peer_event_kind::received, .message = message}},
+            delivery_delay(link_name("to peer", from, to)));
+}
+
+void gateway_simulation::lose_peers_alone(std::size_t daemon)
+{
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        if (i != daemon) {
+            const std::string peer = "d" + std::to_string(i);
+            deliver(daemon, peer_event{{.from = peer, .kind = peer_event_kind::disconnected}});
+            deliver(daemon, peer_event{{.from = peer, .kind = peer_event_kind::connected}});
+        }
+    }
+}
+
+void gateway_simulation::hold_peer_messages(std::size_t from, std::size_t to, bool held)
+{
+    if (held) {
+        held_.try_emplace({from, to});
+        return;
+    }
+    if (const auto freed = held_.extract({from, to}); !freed.empty()) {
+        for (const peer_message& message : freed.mapped()) {
+            deliver_peer_message(from, to, message);
         }
     }
 }
--- a/tests/support/gateway_simulation.h
+++ b/tests/support/gateway_simulation.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace citronfall {
@@ -117,6 +118,12 @@
     void cut_member(std::size_t daemon, const std::string& id, bool cut); ///< Messages between the two are lost.
     void cut_peers(std::size_t daemon, bool cut); ///< Messages to and from other daemons are lost.
 
+    /// A daemon takes its connections to the others for lost and connects again; they do not notice the loss.
+    void lose_peers_alone(std::size_t daemon);
+
+    /// Holds back what a daemon sends to another one; what was held arrives in order once it is free again.
+    void hold_peer_messages(std::size_t from, std::size_t to, bool held);
+
     // Observations.
     [[nodiscard]] std::string leader() const;
     [[nodiscard]] log_position committed() const { return service_.committed(); }
@@ -136,7 +143,8 @@
         std::size_t kept = 0;
     };
 
-    [[nodiscard]] std::map<std::string, write_count> writes() const;                                   ///< By item.
+    [[nodiscard]] std::map<std::string, write_count> writes() const;  ///< By item.
+    [[nodiscard]] std::vector<std::set<std::string>> commits() const; ///< Items that each commit changed.
     [[nodiscard]] std::vector<std::string> logged(std::size_t daemon, const std::string& event) const; ///< Fields.
     [[nodiscard]] std::optional<std::string> stored(const std::string& key) const;                     ///< Value.
     [[nodiscard]] std::size_t store_calls() const { return store_calls_; } ///< Calls of all daemons, refused ones too.
@@ -172,6 +180,7 @@
     void handle(std::size_t daemon, const gateway_event& event);
     void advance_store();
     void deliver_peer_message(std::size_t from, const peer_service_command& order);
+    void deliver_peer_message(std::size_t from, std::size_t to, const peer_message& message);
 
     load::virtual_time time_;
     std::vector<std::unique_ptr<simulated_daemon>> daemons_;
@@ -189,6 +198,9 @@
     double lost_share_ = 0;
     std::map<std::string, instant> delivered_until_; ///< Arrival of the last packet, by connection and direction.
     std::uint64_t random_state_;
+
+    /// Messages from one daemon to another that are held back, by the two daemons.
+    std::map<std::pair<std::size_t, std::size_t>, std::vector<peer_message>> held_;
 };
 
 } // namespace citronfall
