Give up a relayed statement by its number alone

A daemon of this release still ended transactions of such a peer by a name that the peer uses again. And a connection stayed in use if the answer that names its transaction was lost.

Cause: the relaying daemon ended the transaction of a statement that it gave up at once, by name, although the statement may have ended it already, and did so again when the answer came. It sent the end for a first statement only when the answer came, because nothing else tells the name.

Evidence: "a daemon that gives up a statement names no transaction that may have ended", "the number of an answered statement ends the transaction that it left open" and "a transaction whose caller left during a statement is forgotten" fail before the change.

Change: giving up sends the number of the statement. The peer ends the transaction that this statement left open, as it already cancels one that is running. To a peer of the release before, this ends each transaction once; there the connection stays in use until the late answer has arrived.

--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -118,14 +118,11 @@
 
 bool statement_relay::cancel(task_number task)
 {
-    const auto found = sent_.find(task);
-    if (found == sent_.end()) {
-        return task >= first_relay_number;
+    if (sent_.contains(task)) {
+        hooks_.send(sent_.at(task).peer, relayed_end{{.number = task}});
+        give_up(task, "caller_left");
     }
-    log_given_up(task, found->second, "caller_left");
-    hooks_.send(found->second.peer, relayed_end{{.number = task}});
-    forget_sent(task);
-    return true;
+    return task >= first_relay_number;
 }
 
 void statement_relay::end(connection_number remote)
@@ -186,7 +183,7 @@
     running_.erase(found);
     const std::uint64_t name = outcome->connection == 0 ? 0 : name_of_transaction(request, done);
     if (name != 0) {
-        idle_transactions_[name] = {.peer = done.peer, .connection = outcome->connection};
+        idle_transactions_[name] = {.peer = done.peer, .connection = outcome->connection, .statement = done.number};
     }
     hooks_.send(done.peer, relayed_outcome{{.number = done.number, .outcome = outcome, .transaction = name}});
 }
@@ -243,7 +240,7 @@
     if (found == sent_.end()) {
         hooks_.log("relayed_answer_late",
                    log_fields(peer, outcome->transaction) + " number=" + std::to_string(outcome->number));
-        // Already timed out or cancelled: roll back the transaction that the statement may have left open.
+        // Already given up: roll back the transaction that the statement may have left open.
         if (outcome->transaction != 0) {
             hooks_.send(peer, relayed_end{{.transaction = outcome->transaction}});
         }
@@ -272,14 +269,16 @@
 
 void statement_relay::handle(const std::string& peer, const relayed_end& end, instant now)
 {
-    if (end->transaction != 0) {
-        const auto open = idle_transactions_.find(end->transaction);
-        if (open != idle_transactions_.end() && open->second.peer == peer) {
-            const connection_number connection = open->second.connection;
-            log_ended(peer, end->transaction, "asked");
-            idle_transactions_.erase(open);
-            hooks_.release(connection, now);
-        }
+    // The answer to the statement may have been lost, so that the peer does not know the name of the transaction.
+    const auto open = std::find_if(idle_transactions_.begin(), idle_transactions_.end(), [&](const auto& each) {
+        const bool last = end->number != 0 && each.second.statement == end->number;
+        return each.second.peer == peer && (last || each.first == end->transaction);
+    });
+    if (open != idle_transactions_.end()) {
+        const connection_number connection = open->second.connection;
+        log_ended(peer, open->first, "asked");
+        idle_transactions_.erase(open);
+        hooks_.release(connection, now);
     }
     const auto running = std::find_if(running_.begin(), running_.end(), [&](const auto& each) {
         return end->number != 0 && each.second.peer == peer && each.second.number == end->number;
@@ -300,8 +299,7 @@
         }
     }
     for (const task_number number : lost) {
-        log_given_up(number, sent_.at(number), "peer_lost");
-        fail_lost(number, now);
+        fail_lost(number, "peer_lost", now);
     }
     std::vector<connection_number> ended;
     for (const auto& [connection, each] : remote_transactions_) {
@@ -336,26 +334,27 @@
     }
 }
 
-void statement_relay::log_given_up(task_number number, const sent_statement& sent, const char* reason) const
-{
-    hooks_.log("relayed_statement_given_up",
-               "id=" + sent.request->request_id + " session=" + std::to_string(sent.request->session) +
-                   " peer=" + sent.peer + " number=" + std::to_string(number) + " reason=" + reason);
-}
-
 void statement_relay::log_ended(const std::string& peer, std::uint64_t transaction, const char* reason) const
 {
     hooks_.log("relayed_transaction_ended", log_fields(peer, transaction) + " reason=" + reason);
 }
 
-void statement_relay::fail_lost(task_number number, instant now)
+/// Forgets a statement and its transaction. The peer ends the transaction by the statement's number; its name may
+/// denote the next one on the connection if the peer is of a release that names transactions by connection.
+statement_relay::sent_statement statement_relay::give_up(task_number number, const char* reason)
 {
-    const auto found = sent_.find(number);
-    const sent_statement lost = found->second;
+    const sent_statement given_up = sent_.at(number);
+    hooks_.log("relayed_statement_given_up",
+               "id=" + given_up.request->request_id + " session=" + std::to_string(given_up.request->session) +
+                   " peer=" + given_up.peer + " number=" + std::to_string(number) + " reason=" + reason);
     forget_sent(number);
-    if (lost.request->connection != 0) {
-        end(lost.request->connection);
-    }
+    remote_transactions_.erase(given_up.request->connection);
+    return given_up;
+}
+
+void statement_relay::fail_lost(task_number number, const char* reason, instant now)
+{
+    const sent_statement lost = give_up(number, reason);
     const error_kind kind = loss_error_kind(lost.request);
     hooks_.finished(lost.request,
                     task_outcome{{.failure = error{{.kind = kind, .detail = "no answer from daemon " + lost.peer}},
@@ -366,10 +365,9 @@
 
 bool statement_relay::expire(task_number task, instant now)
 {
-    if (const auto found = sent_.find(task); found != sent_.end()) {
-        log_given_up(task, found->second, "timeout");
-        hooks_.send(found->second.peer, relayed_end{{.number = task}});
-        fail_lost(task, now);
+    if (sent_.contains(task)) {
+        hooks_.send(sent_.at(task).peer, relayed_end{{.number = task}});
+        fail_lost(task, "timeout", now);
     }
     return task >= first_relay_number;
 }
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -115,15 +115,16 @@
     struct idle_transaction {
         std::string peer;
         connection_number connection = 0;
+        std::uint64_t statement = 0; ///< Number of the last statement.
     };
 
     void send(task_number number, const sent_statement& sent, instant now);
     void forget_sent(task_number number);
     void remove_pending(const std::string& peer);
     bool send_elsewhere(task_number number, const std::string& refused_by, instant now);
-    void fail_lost(task_number number, instant now);
+    sent_statement give_up(task_number number, const char* reason);
+    void fail_lost(task_number number, const char* reason, instant now);
     [[nodiscard]] std::uint64_t name_of_transaction(const task_request& request, const running_statement& done);
-    void log_given_up(task_number number, const sent_statement& sent, const char* reason) const;
     void log_ended(const std::string& peer, std::uint64_t transaction, const char* reason) const;
 
     statement_relay_hooks hooks_;
--- a/tests/relay_names_test.cc
+++ b/tests/relay_names_test.cc
@@ -239,3 +239,76 @@
     restarted.relay.handle("d1", relayed_end{{.transaction = name}}, {});
     CHECK(restarted.released.empty());
 }
+
+// Guards against the end of a transaction that a peer of the release before has already begun on the same connection:
+// such a peer names transactions by connection.
+TEST_CASE("a daemon that gives up a statement names no transaction that may have ended", "[relay]")
+{
+    observed_relay subject(1);
+    constexpr std::uint64_t reused = 5;
+    const auto open = [&] {
+        const task_number first = subject.submit(statement_verb::write, 0);
+        subject.relay.handle(
+            "d1",
+            relayed_outcome{
+                {.number = first, .outcome = task_outcome{{.state = transaction_state::open}}, .transaction = reused}},
+            {});
+        return first;
+    };
+    const connection_number remote = open() + 1; // The relay numbers statements and connections in one sequence.
+    REQUIRE(subject.relay.peer_of(remote) == "d1");
+    const task_number commit = subject.submit(statement_verb::commit, remote);
+    subject.relay.tick(instant{} + 900ms);
+    CHECK(subject.finished == 2);
+    open();
+    subject.relay.handle("d1", relayed_outcome{{.number = commit}}, {});
+    CHECK(subject.ends_of(reused) == 0);
+}
+
+// Guards against a peer's connection that stays in a transaction of which the caller has been told that it is lost.
+TEST_CASE("a daemon that gives up a statement ends the open transaction when the answer arrives", "[relay]")
+{
+    for (const bool caller_left : {false, true}) {
+        INFO((caller_left ? "the caller has left" : "the time is over"));
+        observed_relay subject(1);
+        const task_number first = subject.submit(statement_verb::write, 0);
+        if (caller_left) {
+            subject.relay.cancel(first);
+        } else {
+            subject.relay.tick(instant{} + 900ms);
+        }
+        subject.relay.handle("d1", relayed_outcome{{.number = first, .transaction = 5}}, {});
+        CHECK(subject.ends_of(5) == 1);
+    }
+}
+
+// Guards against a connection that stays in use for good because the answer that names its transaction was lost.
+TEST_CASE("the number of an answered statement ends the transaction that it left open", "[relay]")
+{
+    observed_relay subject(1);
+    const std::uint64_t name = subject.run_open("d1", 1, 0, 5);
+    subject.run_open("d1", 2, name, 5);
+    subject.relay.handle("d1", relayed_end{{.number = 1}}, {}); // Not the last one.
+    subject.relay.handle("d2", relayed_end{{.number = 2}}, {}); // Another daemon's.
+    CHECK(subject.released.empty());
+    subject.relay.handle("d1", relayed_end{{.number = 2}}, {});
+    CHECK(subject.released == std::vector<connection_number>{5});
+    subject.relay.handle("d1", relayed_end{{.transaction = name}}, {});
+    CHECK(subject.released.size() == 1);
+}
+
+// Guards against a daemon that remembers the transactions of callers that left during a statement.
+TEST_CASE("a transaction whose caller left during a statement is forgotten", "[relay]")
+{
+    observed_relay subject(1);
+    const task_number first = subject.submit(statement_verb::write, 0);
+    subject.relay.handle(
+        "d1",
+        relayed_outcome{
+            {.number = first, .outcome = task_outcome{{.state = transaction_state::open}}, .transaction = 9}},
+        {});
+    const connection_number remote = first + 1;
+    REQUIRE(subject.relay.peer_of(remote) == "d1");
+    subject.relay.cancel(subject.submit(statement_verb::write, remote));
+    CHECK(subject.relay.peer_of(remote).empty());
+}
