End relayed transactions that the relaying daemon no longer knows

What callers saw: nothing at first; the connection of a relayed transaction stayed in use for good, and members of services with relays accept few. Found by following which side ends a transaction if neither side's messages arrive; the review had suspected it by reading.

Cause: a daemon that alone takes the connection to a peer for lost forgets its relayed transactions. It connects again, the peer retires the former connection without an event, and keeps the transactions. The limit on idle transactions was applied to callers' sessions only, on the daemon that had forgotten them.

Evidence: "no connection stays in use after a daemon alone noticed the loss of the connection to a peer" fails before the change: one connection is still in use 8 s later, with a limit of 3 s.

Ruled out: ends that are sent again after a reconnection. They would not reach a peer after a restart of the relaying daemon, nor replace an end that is lost on a retired connection.

Change: the daemon that runs the transactions ends those that stay idle for 3 s longer than the configured limit, and tells the peer. The relaying daemon ends them at the limit, so this happens only if it has lost track.

--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -136,8 +136,10 @@
     }
     statement_relay_->tick(now);
     dispatcher_->tick(now);
-    sessions_->tick(directory_->configuration() ? (*directory_->configuration())->idle_transaction_limit : duration{},
-                    now);
+    const duration idle_limit =
+        directory_->configuration() ? (*directory_->configuration())->idle_transaction_limit : duration{};
+    statement_relay_->end_overdue_transactions(idle_limit, now);
+    sessions_->tick(idle_limit, now);
     lifecycle_->set_can_serve(
         directory_->configuration() && (pool_->open_connections() > 0 || relay_directory_.relays_somewhere()), now);
     lifecycle_->tick(now);
--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -27,6 +27,10 @@
     return "peer=" + peer + " transaction=" + std::to_string(transaction);
 }
 
+/// Time beyond the limit on idle transactions after which this daemon ends one of a peer. The peer ends it at the
+/// limit; its message is held back for 1.3 s at most before the connection is taken for lost.
+constexpr duration overdue_end_allowance = std::chrono::seconds(3);
+
 /// The error that the caller gets if the peer is lost while it runs the statement.
 error_kind loss_error_kind(const task_request& request)
 {
@@ -183,7 +187,8 @@
     running_.erase(found);
     const std::uint64_t name = outcome->connection == 0 ? 0 : name_of_transaction(request, done);
     if (name != 0) {
-        idle_transactions_[name] = {.peer = done.peer, .connection = outcome->connection, .statement = done.number};
+        idle_transactions_[name] = {
+            .peer = done.peer, .connection = outcome->connection, .statement = done.number, .since = now};
     }
     hooks_.send(done.peer, relayed_outcome{{.number = done.number, .outcome = outcome, .transaction = name}});
 }
@@ -214,15 +219,42 @@
     return true;
 }
 
-void statement_relay::end_idle_transactions(instant now)
+/// Removes idle transactions and returns them.
+statement_relay::idle_transactions statement_relay::take(const std::function<bool(const idle_transaction&)>& is_taken)
+{
+    idle_transactions taken;
+    std::erase_if(idle_transactions_, [&](const auto& each) {
+        const bool found = is_taken(each.second);
+        if (found) {
+            taken.insert(each);
+        }
+        return found;
+    });
+    return taken;
+}
+
+void statement_relay::end_all(const idle_transactions& ended, const char* reason, instant now)
 {
-    for (const auto& [name, each] : std::exchange(idle_transactions_, {})) {
-        log_ended(each.peer, name, "leaving");
+    for (const auto& [name, each] : ended) {
+        log_ended(each.peer, name, reason);
         hooks_.send(each.peer, relayed_outcome{{.number = 0, .transaction = name}});
         hooks_.release(each.connection, now);
     }
 }
 
+void statement_relay::end_idle_transactions(instant now)
+{
+    end_all(std::exchange(idle_transactions_, {}), "leaving", now);
+}
+
+void statement_relay::end_overdue_transactions(duration limit, instant now)
+{
+    if (limit != duration{}) {
+        const instant due = now - limit - overdue_end_allowance;
+        end_all(take([due](const idle_transaction& each) { return each.since < due; }), "overdue", now);
+    }
+}
+
 void statement_relay::handle(const std::string& peer, const relayed_outcome& outcome, instant now)
 {
     if (outcome->number == 0) {
@@ -321,16 +353,9 @@
     for (const task_number task : running) {
         hooks_.cancel(task, now);
     }
-    std::vector<connection_number> open;
-    std::erase_if(idle_transactions_, [&](const auto& each) {
-        if (each.second.peer == peer) {
-            log_ended(peer, each.first, "peer_lost");
-            open.push_back(each.second.connection);
-        }
-        return each.second.peer == peer;
-    });
-    for (const connection_number connection : open) {
-        hooks_.release(connection, now);
+    for (const auto& [name, each] : take([&](const idle_transaction& each) { return each.peer == peer; })) {
+        log_ended(peer, name, "peer_lost");
+        hooks_.release(each.connection, now);
     }
 }
 
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -79,6 +79,10 @@
     /// Rolls back the transactions of peers that run no statement, and tells the peers.
     void end_idle_transactions(instant now);
 
+    /// Rolls back the transactions of peers that have been idle for much longer than `limit`, after which the peer
+    /// should have ended them, and tells the peers. Without effect if the limit is 0. Call it every second at least.
+    void end_overdue_transactions(duration limit, instant now);
+
     void handle(const std::string& peer, const relayed_statement& statement, instant now);
     void handle(const std::string& peer, const relayed_outcome& outcome, instant now);
     void handle(const std::string& peer, const relayed_end& end, instant now);
@@ -116,12 +120,17 @@
         std::string peer;
         connection_number connection = 0;
         std::uint64_t statement = 0; ///< Number of the last statement.
+        instant since{};
     };
 
+    using idle_transactions = std::map<std::uint64_t, idle_transaction>; ///< By name.
+
     void send(task_number number, const sent_statement& sent, instant now);
     void forget_sent(task_number number);
     void remove_pending(const std::string& peer);
     bool send_elsewhere(task_number number, const std::string& refused_by, instant now);
+    [[nodiscard]] idle_transactions take(const std::function<bool(const idle_transaction&)>& is_taken);
+    void end_all(const idle_transactions& ended, const char* reason, instant now);
     sent_statement give_up(task_number number, const char* reason);
     void fail_lost(task_number number, const char* reason, instant now);
     [[nodiscard]] std::uint64_t name_of_transaction(const task_request& request, const running_statement& done);
@@ -132,8 +141,8 @@
     std::map<std::string, std::size_t> pending_; ///< Number of statements in sent_, by peer.
     timer_queue<task_number> deadlines_;
     std::map<connection_number, remote_transaction> remote_transactions_;
-    std::map<session_number, running_statement> running_;         ///< By the session number that this relay assigned.
-    std::map<std::uint64_t, idle_transaction> idle_transactions_; ///< By name.
+    std::map<session_number, running_statement> running_; ///< By the session number that this relay assigned.
+    idle_transactions idle_transactions_;
     std::uint64_t last_number_;
 };
 
--- a/tests/relay_names_test.cc
+++ b/tests/relay_names_test.cc
@@ -312,3 +312,39 @@
     subject.relay.cancel(subject.submit(statement_verb::write, remote));
     CHECK(subject.relay.peer_of(remote).empty());
 }
+
+// Guards against connections that stay in use for good because the peer's messages about their transactions were lost.
+TEST_CASE("a daemon ends a relayed transaction that its peer should have ended", "[relay]")
+{
+    observed_relay subject(1);
+    const std::uint64_t first = subject.run_open("d1", 1, 0, 5, instant{} + 1s);
+    subject.run_open("d1", 2, 0, 6, instant{} + 2s);
+    subject.relay.end_overdue_transactions(duration{}, instant{} + 60s);
+    subject.relay.end_overdue_transactions(2s, instant{} + 6s);
+    CHECK(subject.released.empty());
+    subject.relay.end_overdue_transactions(2s, instant{} + 6s + 1ms);
+    CHECK(subject.released == std::vector<connection_number>{5});
+    const auto told = std::get<relayed_outcome>(subject.sent.back());
+    CHECK(told->number == 0);
+    CHECK(told->transaction == first);
+}
+
+// Guards against members whose few connections are all taken after only one of two daemons noticed a lost connection.
+TEST_CASE("no connection stays in use after a daemon alone noticed the loss of the connection to a peer", "[relay]")
+{
+    const auto chosen = few_connections(1);
+    gateway_simulation simulation(chosen);
+    const std::size_t relaying = relaying_daemon(chosen);
+    const session_number session = simulation.open(relaying, "fresh");
+    REQUIRE(simulation.execute(relaying, session, "BEGIN"));
+    REQUIRE(simulation.execute(relaying, session, "WRITE x"));
+    REQUIRE(simulation.connections_in_use(simulation.leader()) == 1);
+    simulation.lose_peers_alone(relaying);
+    const auto reply = simulation.execute(relaying, session, "COMMIT");
+    REQUIRE(reply);
+    REQUIRE((*reply)->failure);
+    CHECK((*(*reply)->failure)->kind == error_kind::transaction_lost);
+    simulation.run(8s);
+    CHECK(simulation.connections_in_use(simulation.leader()) == 0);
+    CHECK(simulation.writes().empty());
+}
