Number the polls on a primary differently in each run of a daemon

What callers saw: nothing; found by asking of each number between daemons whether it can mean another object later. A primary could have been replaced although peers reach it, which rolls back confirmed commits where no replica has to confirm them.

Cause: the polls of a daemon were counted from 1 in each run. A peer answers to the daemon's name, so the answer to a poll of the former run, perhaps on another member, could count for the poll with the same number of the new run. The peer has to be paused while the daemon restarts.

Change: polls start from the same range of the run as the numbers of the relay (core/run_numbers.h). Peers echo the number as before.

--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway_engine.h"
 
 #include "citronfall/error_table.h"
+#include "core/run_numbers.h"
 
 #include <algorithm>
 #include <exception>
@@ -49,7 +50,8 @@
       relay_directory_(relay_candidate{
           {.name = options_.settings->name,
            .data_center = options_.settings->data_center,
-           .capacity = daemon_capacity(options_.settings->processor_cores, options_.settings->link_mbps)}})
+           .capacity = daemon_capacity(options_.settings->processor_cores, options_.settings->link_mbps)}}),
+      last_suspicion_poll_(first_number_of_run(options_.incarnation))
 {
 }
 
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -154,7 +154,7 @@
     bool leaving_ = false; ///< This daemon has announced its shutdown to its peers.
     metrics_registry metrics_;
     call_number last_call_ = 0;
-    std::uint64_t last_suspicion_poll_ = 0;
+    std::uint64_t last_suspicion_poll_;
     bool directory_changed_ = false;
     bool ready_ = false; ///< As last reported to the readiness probe.
 };
--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -1,5 +1,7 @@
 #include "relay/statement_relay.h"
 
+#include "core/run_numbers.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,17 +9,7 @@
 namespace {
 
 /// Numbers from here on are assigned by the relay; the regular counters never get that far.
-constexpr std::uint64_t first_relay_number = 1ULL << 62U;
-
-/// Bits of a number that count within one run of the daemon; those between them and first_relay_number hold the
-/// incarnation.
-constexpr unsigned counter_bits = 32;
-constexpr unsigned incarnation_bits = 62 - counter_bits;
-
-std::uint64_t first_number_of(std::uint64_t incarnation)
-{
-    return (incarnation & ((1ULL << incarnation_bits) - 1)) << counter_bits;
-}
+constexpr std::uint64_t first_relay_number = 1ULL << run_number_bits;
 
 /// Added to the statement's own timeout for the round trip to the peer.
 constexpr duration round_trip_allowance = std::chrono::milliseconds(50);
@@ -51,7 +43,7 @@
 } // namespace
 
 statement_relay::statement_relay(statement_relay_hooks hooks, std::uint64_t incarnation)
-    : hooks_(std::move(hooks)), last_number_(first_number_of(incarnation))
+    : hooks_(std::move(hooks)), last_number_(first_number_of_run(incarnation))
 {
 }
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <set>
 #include <string>
 
 using namespace citronfall;
@@ -508,3 +510,32 @@
     CHECK(simulation.stored("op/config") == changed);
     CHECK(simulation.stored("members/m1") == "m1 draining");
 }
+
+// Guards against a primary that is replaced because answers to a poll of the daemon's former run count for a new one.
+TEST_CASE("a restarted daemon numbers its polls differently than its former run", "[gateway]")
+{
+    gateway_simulation simulation({.daemons = 3});
+    std::map<std::size_t, std::set<std::uint64_t>> sent;
+    std::size_t polls = 0;
+    std::size_t runs_with_polls = 0;
+    for (int round = 0; round < 4; ++round) {
+        const std::string silenced = simulation.leader();
+        simulation.silence_member(silenced);
+        simulation.run(4s);
+        for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+            const std::set<std::uint64_t> numbers = simulation.take_polls(daemon);
+            runs_with_polls += numbers.empty() ? 0 : 1;
+            polls += numbers.size();
+            sent[daemon].insert(numbers.begin(), numbers.end());
+            simulation.restart_daemon(daemon);
+        }
+        simulation.heal_member(silenced);
+        simulation.run(4s);
+    }
+    std::size_t different = 0;
+    for (const auto& [daemon, numbers] : sent) {
+        different += numbers.size();
+    }
+    CHECK(runs_with_polls > simulation.daemons()); // Thus one daemon has polled in two runs.
+    CHECK(different == polls);
+}
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -170,8 +170,10 @@
     bool throws = false; ///< Its next command to members throws.
     bool frozen = false;
     std::vector<gateway_event> waiting{}; ///< Events that arrived while it was frozen.
-    bool isolated = false;                ///< Messages to and from other daemons are lost.
-    std::set<std::string> cut{};          ///< Members to and from which messages are lost.
+    std::uint64_t restarts = 0;
+    std::set<std::uint64_t> polls{};
+    bool isolated = false;       ///< Messages to and from other daemons are lost.
+    std::set<std::string> cut{}; ///< Members to and from which messages are lost.
 };
 
 gateway_simulation::gateway_simulation(const options& chosen)
@@ -212,13 +214,13 @@
 
 gateway_simulation::~gateway_simulation() = default;
 
-void gateway_simulation::start_daemon(std::size_t index)
+void gateway_simulation::start_daemon(std::size_t index, std::uint64_t run)
 {
     simulated_daemon& daemon = *daemons_[index];
     const std::string name = "d" + std::to_string(index);
     auto engine = gateway_engine::make(
         {.settings = gateway_settings{{.name = name, .region = "r", .data_center = "dc", .first_start = first_start_}},
-         .incarnation = index + 1,
+         .incarnation = index + 1 + run * daemons_.size(),
          .send_reply =
              [this, index, &daemon](const caller_reply& reply) {
                  const session_number session = std::visit([](const auto& each) { return each->session; }, reply);
@@ -276,6 +278,19 @@
     }
 }
 
+void gateway_simulation::restart_daemon(std::size_t index)
+{
+    stop_daemon(index);
+    run(300ms); // Longer than the ticks of the former run.
+    daemons_[index]->stopped = false;
+    start_daemon(index, ++daemons_[index]->restarts);
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        if (i != index && !daemons_[i]->stopped) {
+            connect_peers(index, i);
+        }
+    }
+}
+
 void gateway_simulation::stop_daemon(std::size_t index)
 {
     daemons_[index]->stopped = true;
@@ -452,6 +467,11 @@
     members_.at(id).silenced = true;
 }
 
+void gateway_simulation::heal_member(const std::string& id)
+{
+    members_.at(id).silenced = false;
+}
+
 void gateway_simulation::announce_drain(const std::string& id)
 {
     write_entry("members/" + id, id + " draining");
@@ -660,6 +680,11 @@
     return counts;
 }
 
+std::set<std::uint64_t> gateway_simulation::take_polls(std::size_t daemon)
+{
+    return std::exchange(daemons_[daemon]->polls, {});
+}
+
 std::vector<std::set<std::string>> gateway_simulation::commits() const
 {
     std::vector<std::set<std::string>> all;
@@ -793,6 +818,9 @@
     if (command == nullptr) {
         return;
     }
+    if (const auto* query = std::get_if<suspicion_query>(&(*command)->message)) {
+        daemons_[from]->polls.insert((*query)->number);
+    }
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         const std::string name = "d" + std::to_string(i);
         if (i != from && !daemons_[i]->isolated && !daemons_[from]->isolated &&
--- a/tests/support/gateway_simulation.h
+++ b/tests/support/gateway_simulation.h
@@ -82,6 +82,7 @@
     void delay_caller_events(std::size_t daemon, duration delay); ///< Backlog of its event ring.
     void crash_member(const std::string& id);                     ///< Its process ends; connections are reset.
     void silence_member(const std::string& id);                   ///< It stops answering; connections stay open.
+    void heal_member(const std::string& id);                      ///< It answers again.
     void announce_drain(const std::string& id);                   ///< Its entry in the store says that it is draining.
     void remove_entry(const std::string& id);                     ///< Its entry leaves the store.
     void lose_answers(const std::string& id, std::size_t count);  ///< The next answers to callers' statements are lost.
@@ -111,7 +112,8 @@
     /// The process of a daemon stands still; what it is sent waits, and its connections stay open.
     void freeze(std::size_t daemon, bool frozen);
     void restart_member(const std::string& id);
-    void start_further_daemon(); ///< Its index is the number of daemons so far.
+    void start_further_daemon();             ///< Its index is the number of daemons so far.
+    void restart_daemon(std::size_t daemon); ///< Its process ends without notice, and a new one starts.
     void terminate(std::size_t daemon);
     void kill(std::size_t daemon) { stop_daemon(daemon); } ///< Its process ends without notice; connections are closed.
     void pause_member(const std::string& id);              ///< As by a daemon that ends during a change of primary.
@@ -143,6 +145,8 @@
         std::size_t kept = 0;
     };
 
+    [[nodiscard]] std::set<std::uint64_t>
+    take_polls(std::size_t daemon); ///< Numbers of its polls on primaries since the last call.
     [[nodiscard]] std::map<std::string, write_count> writes() const;  ///< By item.
     [[nodiscard]] std::vector<std::set<std::string>> commits() const; ///< Items that each commit changed.
     [[nodiscard]] std::vector<std::string> logged(std::size_t daemon, const std::string& event) const; ///< Fields.
@@ -164,7 +168,7 @@
 
     [[nodiscard]] duration delivery_delay(const std::string& connection);
     void write_entry(const std::string& key, const std::string& value);
-    void start_daemon(std::size_t index);
+    void start_daemon(std::size_t index, std::uint64_t run = 0);
     void connect_peers(std::size_t daemon, std::size_t other);
     void stop_daemon(std::size_t index);
     void tick_daemon(std::size_t index);
