--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -360,7 +360,7 @@
 /// denote the next one on the connection if the peer is of a release that names transactions by connection.
 statement_relay::sent_statement statement_relay::give_up(task_number number, const char* reason)
 {
-    const sent_statement given_up = sent_.at(number);
+    sent_statement given_up = sent_.at(number);
     hooks_.log("relayed_statement_given_up",
                "id=" + given_up.request->request_id + " session=" + std::to_string(given_up.request->session) +
                    " peer=" + given_up.peer + " number=" + std::to_string(number) + " reason=" + reason);
