Wire quotas into the daemon

Operations of a limited tenant pass the quota gate in submit(), before they are queued or relayed; requests and grants travel as peer messages. Holders of groups of quotas are the daemons with the locks quota/0 to quota/7, which hang on the lease of the registration. Nothing acts without a limit in the configuration.

--- a/include/citronfall/peer_message.h
+++ b/include/citronfall/peer_message.h
@@ -5,6 +5,8 @@
 #include "citronfall/peer_digest.h"
 #include "citronfall/peer_hello.h"
 #include "citronfall/primary_notice.h"
+#include "citronfall/quota_grant.h"
+#include "citronfall/quota_request.h"
 #include "citronfall/relayed_end.h"
 #include "citronfall/relayed_outcome.h"
 #include "citronfall/relayed_statement.h"
@@ -26,6 +28,6 @@
 using peer_message =
     std::variant<peer_hello, peer_digest, section_update, suspicion_query, suspicion_reply, share_request, share_grant,
                  share_ack, store_digest, store_request, store_changes, primary_notice, relayed_statement,
-                 relayed_outcome, relayed_end, leave_notice, keepalive>;
+                 relayed_outcome, relayed_end, leave_notice, keepalive, quota_request, quota_grant>;
 
 } // namespace citronfall
--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -74,6 +74,18 @@
 struct relayed_end;
 struct relayed_endBuilder;
 
+struct quota_demand;
+struct quota_demandBuilder;
+
+struct quota_request;
+struct quota_requestBuilder;
+
+struct quota_allowance;
+struct quota_allowanceBuilder;
+
+struct quota_grant;
+struct quota_grantBuilder;
+
 struct peer_message;
 struct peer_messageBuilder;
 
@@ -94,11 +106,13 @@
   relayed_statement = 13,
   relayed_outcome = 14,
   relayed_end = 15,
+  quota_request = 16,
+  quota_grant = 17,
   MIN = NONE,
-  MAX = relayed_end
+  MAX = quota_grant
 };
 
-inline const body (&EnumValuesbody())[16] {
+inline const body (&EnumValuesbody())[18] {
   static const body values[] = {
     body::NONE,
     body::hello,
@@ -115,13 +129,15 @@
     body::primary_notice,
     body::relayed_statement,
     body::relayed_outcome,
-    body::relayed_end
+    body::relayed_end,
+    body::quota_request,
+    body::quota_grant
   };
   return values;
 }
 
 inline const char * const *EnumNamesbody() {
-  static const char * const names[17] = {
+  static const char * const names[19] = {
     "NONE",
     "hello",
     "digest",
@@ -138,13 +154,15 @@
     "relayed_statement",
     "relayed_outcome",
     "relayed_end",
+    "quota_request",
+    "quota_grant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamebody(body e) {
-  if (flatbuffers::IsOutRange(e, body::NONE, body::relayed_end)) return "";
+  if (flatbuffers::IsOutRange(e, body::NONE, body::quota_grant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesbody()[index];
 }
@@ -213,6 +231,14 @@
   static const body enum_value = body::relayed_end;
 };
 
+template<> struct bodyTraits<citronfall::wire::quota_request> {
+  static const body enum_value = body::quota_request;
+};
+
+template<> struct bodyTraits<citronfall::wire::quota_grant> {
+  static const body enum_value = body::quota_grant;
+};
+
 bool Verifybody(flatbuffers::Verifier &verifier, const void *obj, body type);
 bool VerifybodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<body> *types);
 
@@ -2187,6 +2213,356 @@
   return builder_.Finish();
 }
 
+struct quota_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_demandBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_PART = 6,
+    VT_WAITING = 8,
+    VT_AHEAD = 10,
+    VT_RATE_PER_S = 12,
+    VT_BURST = 14
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t part() const {
+    return GetField<uint32_t>(VT_PART, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint32_t ahead() const {
+    return GetField<uint32_t>(VT_AHEAD, 0);
+  }
+  double rate_per_s() const {
+    return GetField<double>(VT_RATE_PER_S, 0.0);
+  }
+  double burst() const {
+    return GetField<double>(VT_BURST, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_PART, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AHEAD, 4) &&
+           VerifyField<double>(verifier, VT_RATE_PER_S, 8) &&
+           VerifyField<double>(verifier, VT_BURST, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct quota_demandBuilder {
+  typedef quota_demand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(quota_demand::VT_TENANT, tenant);
+  }
+  void add_part(uint32_t part) {
+    fbb_.AddElement<uint32_t>(quota_demand::VT_PART, part, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(quota_demand::VT_WAITING, waiting, 0);
+  }
+  void add_ahead(uint32_t ahead) {
+    fbb_.AddElement<uint32_t>(quota_demand::VT_AHEAD, ahead, 0);
+  }
+  void add_rate_per_s(double rate_per_s) {
+    fbb_.AddElement<double>(quota_demand::VT_RATE_PER_S, rate_per_s, 0.0);
+  }
+  void add_burst(double burst) {
+    fbb_.AddElement<double>(quota_demand::VT_BURST, burst, 0.0);
+  }
+  explicit quota_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_demand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_demand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_demand> Createquota_demand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t part = 0,
+    uint32_t waiting = 0,
+    uint32_t ahead = 0,
+    double rate_per_s = 0.0,
+    double burst = 0.0) {
+  quota_demandBuilder builder_(_fbb);
+  builder_.add_burst(burst);
+  builder_.add_rate_per_s(rate_per_s);
+  builder_.add_ahead(ahead);
+  builder_.add_waiting(waiting);
+  builder_.add_part(part);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_demand> Createquota_demandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint32_t part = 0,
+    uint32_t waiting = 0,
+    uint32_t ahead = 0,
+    double rate_per_s = 0.0,
+    double burst = 0.0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return citronfall::wire::Createquota_demand(
+      _fbb,
+      tenant__,
+      part,
+      waiting,
+      ahead,
+      rate_per_s,
+      burst);
+}
+
+struct quota_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_requestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_VERSION = 6,
+    VT_DEMANDS = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_demand>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_demand>> *>(VT_DEMANDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           verifier.EndTable();
+  }
+};
+
+struct quota_requestBuilder {
+  typedef quota_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_NUMBER, number, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_VERSION, version, 0);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_demand>>> demands) {
+    fbb_.AddOffset(quota_request::VT_DEMANDS, demands);
+  }
+  explicit quota_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_request> Createquota_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_demand>>> demands = 0) {
+  quota_requestBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_number(number);
+  builder_.add_demands(demands);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_request> Createquota_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t version = 0,
+    const std::vector<flatbuffers::Offset<citronfall::wire::quota_demand>> *demands = nullptr) {
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::quota_demand>>(*demands) : 0;
+  return citronfall::wire::Createquota_request(
+      _fbb,
+      number,
+      version,
+      demands__);
+}
+
+struct quota_allowance FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_allowanceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_PART = 6,
+    VT_HELD = 8,
+    VT_GRANTED = 10,
+    VT_RETRY_AFTER_US = 12
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t part() const {
+    return GetField<uint32_t>(VT_PART, 0);
+  }
+  bool held() const {
+    return GetField<uint8_t>(VT_HELD, 0) != 0;
+  }
+  uint32_t granted() const {
+    return GetField<uint32_t>(VT_GRANTED, 0);
+  }
+  uint64_t retry_after_us() const {
+    return GetField<uint64_t>(VT_RETRY_AFTER_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_PART, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HELD, 1) &&
+           VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct quota_allowanceBuilder {
+  typedef quota_allowance Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(quota_allowance::VT_TENANT, tenant);
+  }
+  void add_part(uint32_t part) {
+    fbb_.AddElement<uint32_t>(quota_allowance::VT_PART, part, 0);
+  }
+  void add_held(bool held) {
+    fbb_.AddElement<uint8_t>(quota_allowance::VT_HELD, static_cast<uint8_t>(held), 0);
+  }
+  void add_granted(uint32_t granted) {
+    fbb_.AddElement<uint32_t>(quota_allowance::VT_GRANTED, granted, 0);
+  }
+  void add_retry_after_us(uint64_t retry_after_us) {
+    fbb_.AddElement<uint64_t>(quota_allowance::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
+  explicit quota_allowanceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_allowance> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_allowance>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_allowance> Createquota_allowance(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t part = 0,
+    bool held = false,
+    uint32_t granted = 0,
+    uint64_t retry_after_us = 0) {
+  quota_allowanceBuilder builder_(_fbb);
+  builder_.add_retry_after_us(retry_after_us);
+  builder_.add_granted(granted);
+  builder_.add_part(part);
+  builder_.add_tenant(tenant);
+  builder_.add_held(held);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_allowance> Createquota_allowanceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint32_t part = 0,
+    bool held = false,
+    uint32_t granted = 0,
+    uint64_t retry_after_us = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return citronfall::wire::Createquota_allowance(
+      _fbb,
+      tenant__,
+      part,
+      held,
+      granted,
+      retry_after_us);
+}
+
+struct quota_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_grantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_ALLOWANCES = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_allowance>> *allowances() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_allowance>> *>(VT_ALLOWANCES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_ALLOWANCES) &&
+           verifier.VerifyVector(allowances()) &&
+           verifier.VerifyVectorOfTables(allowances()) &&
+           verifier.EndTable();
+  }
+};
+
+struct quota_grantBuilder {
+  typedef quota_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_NUMBER, number, 0);
+  }
+  void add_allowances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_allowance>>> allowances) {
+    fbb_.AddOffset(quota_grant::VT_ALLOWANCES, allowances);
+  }
+  explicit quota_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_grant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_grant> Createquota_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::quota_allowance>>> allowances = 0) {
+  quota_grantBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_allowances(allowances);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_grant> Createquota_grantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const std::vector<flatbuffers::Offset<citronfall::wire::quota_allowance>> *allowances = nullptr) {
+  auto allowances__ = allowances ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::quota_allowance>>(*allowances) : 0;
+  return citronfall::wire::Createquota_grant(
+      _fbb,
+      number,
+      allowances__);
+}
+
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_messageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2245,6 +2621,12 @@
   const citronfall::wire::relayed_end *body_as_relayed_end() const {
     return body_type() == citronfall::wire::body::relayed_end ? static_cast<const citronfall::wire::relayed_end *>(body()) : nullptr;
   }
+  const citronfall::wire::quota_request *body_as_quota_request() const {
+    return body_type() == citronfall::wire::body::quota_request ? static_cast<const citronfall::wire::quota_request *>(body()) : nullptr;
+  }
+  const citronfall::wire::quota_grant *body_as_quota_grant() const {
+    return body_type() == citronfall::wire::body::quota_grant ? static_cast<const citronfall::wire::quota_grant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2314,6 +2696,14 @@
   return body_as_relayed_end();
 }
 
+template<> inline const citronfall::wire::quota_request *peer_message::body_as<citronfall::wire::quota_request>() const {
+  return body_as_quota_request();
+}
+
+template<> inline const citronfall::wire::quota_grant *peer_message::body_as<citronfall::wire::quota_grant>() const {
+  return body_as_quota_grant();
+}
+
 struct peer_messageBuilder {
   typedef peer_message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2410,6 +2800,14 @@
       auto ptr = reinterpret_cast<const citronfall::wire::relayed_end *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case body::quota_request: {
+      auto ptr = reinterpret_cast<const citronfall::wire::quota_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case body::quota_grant: {
+      auto ptr = reinterpret_cast<const citronfall::wire::quota_grant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/caller_session/session_statements.cc
+++ b/src/caller_session/session_statements.cc
@@ -133,6 +133,14 @@
     }
 }
 
+void session_table::renumber(session_number session, task_number before, task_number after)
+{
+    const auto found = sessions_.find(session);
+    if (found != sessions_.end() && found->second.task == before) {
+        found->second.task = after;
+    }
+}
+
 void session_table::finished(const task_request& request, const task_outcome& outcome, instant now)
 {
     const auto found = sessions_.find(request->session);
--- a/src/caller_session/session_table.h
+++ b/src/caller_session/session_table.h
@@ -55,6 +55,9 @@
     /// Handles the outcome of a statement that was submitted for a session.
     void finished(const task_request& request, const task_outcome& outcome, instant now);
 
+    /// A statement that was submitted has got another number.
+    void renumber(session_number session, task_number before, task_number after);
+
     /// The connection of an open transaction has ended.
     void connection_lost(connection_number connection, instant now);
 
--- a/src/ctl/gateway_commands.cc
+++ b/src/ctl/gateway_commands.cc
@@ -52,6 +52,16 @@
     print_list(context, report.at("members"),
                {"MEMBER", "SERVICE", "ADDRESS", "REACH", "LEADS", "DRAINING", "CONNECTIONS", "IDLE", "RUNNING"},
                {"member", "service", "address", "reach", "leads", "draining", "connections", "idle", "running"});
+    // Daemons of earlier releases report no quotas.
+    const json none = json::array();
+    if (const json& quotas = report.contains("quotas") ? report.at("quotas") : none; !quotas.empty()) {
+        print_list(context, quotas, {"TENANT", "RATE", "BURST", "HELD BY", "ADMITTED", "REFUSED", "WAITING"},
+                   {"tenant", "rate_per_s", "burst", "holders", "admitted", "refused", "waiting"});
+    }
+    if (const json& parts = report.contains("quota_parts") ? report.at("quota_parts") : none; !parts.empty()) {
+        print_list(context, parts, {"HELD QUOTA OF", "PART", "LEVEL", "GRANTED", "DECLINED"},
+                   {"tenant", "part", "level", "granted", "declined"});
+    }
 }
 
 void print_explanation(const tool_context& context, const log_explanation& found)
--- a/src/dispatch/statement_task.h
+++ b/src/dispatch/statement_task.h
@@ -62,6 +62,7 @@
     std::optional<min_read_position> newest_own_commit; ///< Position of the session's newest commit.
     session_values values;
     connection_number connection = 0; ///< in_transaction only.
+    std::string tenant;               ///< Tenant of the caller; empty in a deployment without tenants.
 
     friend auto operator<=>(const task_request_fields&, const task_request_fields&) = default;
 };
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -137,6 +137,7 @@
         tick_services(now);
     }
     statement_relay_->tick(now);
+    tick_quotas(now);
     dispatcher_->tick(now);
     const duration idle_limit =
         directory_->configuration() ? (*directory_->configuration())->idle_transaction_limit : duration{};
@@ -166,7 +167,7 @@
     }
     instant due = last_tick_ + (lifecycle_->draining() ? drain_tick_interval : max_tick_interval);
     for (const auto& each : {timers_.next(), dispatcher_->next(), statement_relay_->next(), replica_->next(),
-                             monitor_->next(), pool_->next(), directory_->next_expiry()}) {
+                             monitor_->next(), pool_->next(), directory_->next_expiry(), quota_gate_->next()}) {
         due = each ? std::min(due, *each) : due;
     }
     return std::max(due, now);
@@ -176,9 +177,11 @@
 void gateway_engine::finish_event(instant now)
 {
     dispatcher_->report(now);
+    finish_quota_work(now);
     if (std::exchange(directory_changed_, false)) {
         reconfigure(now);
         dispatcher_->report(now);
+        finish_quota_work(now);
     }
 }
 
@@ -228,6 +231,7 @@
         relay_directory_.disconnected(event->from, now);
         replica_->disconnected(event->from);
         statement_relay_->disconnected(event->from, now);
+        quota_gate_->disconnected(event->from, now);
         return;
     case peer_event_kind::received:
         on_peer_message(event->from, event->message, now);
@@ -275,6 +279,10 @@
         note_peer_leaves(peer);
     } else if (const auto* notice = std::get_if<primary_notice>(&message)) {
         handle_primary_notice(*notice, now);
+    } else if (const auto* asked = std::get_if<quota_request>(&message)) {
+        options_.send_peer_command(outgoing_peer_message{{.to = peer, .message = answer_quota_request(*asked, now)}});
+    } else if (const auto* granted = std::get_if<quota_grant>(&message)) {
+        quota_gate_->handle(*granted, now);
     }
 }
 
@@ -329,6 +337,9 @@
     tick_wanted_ = true;
     if (item->key.starts_with(options_.service_directory.keys.failover_locks)) {
         registrar_->directory_changed(now_); // Locks change neither members nor assignments.
+        if (is_quota_lock(item->key.substr(options_.service_directory.keys.failover_locks.size()))) {
+            send_candidates(); // This daemon stays connected to the holders of quotas.
+        }
         return;
     }
     directory_changed_ = true;
@@ -372,6 +383,7 @@
         }
     }
     pool_->configure(members, shares, now);
+    configure_quotas(now);
     add_primary_changes(now);
     sessions_->admit_delayed_starts(now);
     send_candidates();
@@ -492,7 +504,15 @@
 {
     options_.publish_report(report(now));
     metrics_report report = metrics_.report(0);
-    report = with(report, [this](metrics_report_fields& fields) {
+    std::uint64_t granted = 0;
+    for (const held_quota& each : quota_holder_->held(now)) {
+        granted += each.granted_total;
+    }
+    report = with(report, [this, granted](metrics_report_fields& fields) {
+        if (has_quotas_) {
+            fields.counters["quota_requests_total"] = quota_gate_->requests_total();
+            fields.counters["quota_granted"] = granted;
+        }
         fields.counters["sessions"] = sessions_->size();
         fields.counters["statements_in_progress"] = dispatcher_->size();
         fields.counters["member_connections"] = pool_->open_connections();
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -18,15 +18,22 @@
 #include "mirror/store_replica.h"
 #include "pool/member_pool.h"
 #include "primary_change/primary_change.h"
+#include "quota/daemon_count.h"
+#include "quota/quota_gate.h"
+#include "quota/quota_holder.h"
 #include "registration/daemon_registrar.h"
 #include "relay/expired_daemons.h"
 #include "relay/relay_directory.h"
 #include "relay/statement_relay.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace citronfall {
 
@@ -83,6 +90,7 @@
     result<done> build_pool();
     result<done> build_sessions();
     result<done> build_lifecycle();
+    result<done> build_quota();
     void build_relay();
 
     void on_event(const caller_event& event, instant now);
@@ -100,8 +108,29 @@
     void finish_event(instant now);
 
     task_number submit(const task_request& request, instant now);
+    task_number submit_admitted(const task_request& request, instant now);
+    void cancel(task_number task, instant now);
+    void expire(task_number task, instant now);
+    [[nodiscard]] std::optional<statement_location> locate(task_number task) const;
     void release(connection_number connection, instant now);
     void report_session_end(const session_end& end);
+    void report_quotas(gateway_report_fields& fields, instant now) const;
+
+    // Quotas (gateway_engine_quota.cc).
+    [[nodiscard]] std::string reachable_quota_holder(std::uint32_t group) const;
+    [[nodiscard]] std::string listed_quota_holder(std::uint32_t group) const;
+    [[nodiscard]] std::optional<std::size_t> quota_claim_order(const std::string& lock) const;
+    void configure_quotas(instant now);
+    void update_held_quotas(instant now);
+    void tick_quotas(instant now);
+    [[nodiscard]] quota_grant answer_quota_request(const quota_request& request, instant now);
+    task_number submit_limited(const task_request& request, instant now);
+    void finish_quota_work(instant now);
+    void finish_quota_operation(task_number number, const quota_admission& admission, instant now);
+    void fail_quota_operation(const task_request& request, const error& failure, instant now);
+    bool cancel_quota_operation(task_number number, instant now);
+    bool expire_quota_operation(task_number number, instant now);
+
     [[nodiscard]] bool is_relayed_here(const std::string& service, instant now) const;
     void note_relayed_here(const std::string& service, instant now);
     [[nodiscard]] std::string relay_target(const std::string& service) const;
@@ -151,6 +180,16 @@
     std::map<std::string, instant> relayed_here_at_; ///< When a peer last relayed a statement here, by service.
     expired_daemons expired_daemons_;
     std::map<std::string, std::unique_ptr<primary_change>> primary_changes_;
+    std::unique_ptr<quota_gate> quota_gate_;
+    std::unique_ptr<quota_holder> quota_holder_;
+    daemon_count daemon_count_;
+    std::optional<std::uint64_t> quota_version_; ///< Version of the configuration that the quotas are from.
+    std::size_t quota_daemons_ = 0;              ///< Number of daemons by which quotas are divided; 0: not known.
+    bool has_quotas_ = false;                    ///< The configuration in force limits a tenant.
+    std::map<task_number, task_request> quota_operations_;                 ///< Operations that wait for a quota.
+    std::vector<std::pair<task_number, quota_admission>> quota_decisions_; ///< Not yet applied.
+    std::vector<quota_request> own_quota_requests_; ///< To quotas that this daemon holds; not yet answered.
+    task_number last_quota_operation_ = 0;
     bool leaving_ = false; ///< This daemon has announced its shutdown to its peers.
     metrics_registry metrics_;
     call_number last_call_ = 0;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -29,7 +29,7 @@
     build_relay();
     for (const auto& step :
          {&gateway_engine::build_pool, &gateway_engine::build_replica, &gateway_engine::build_registrar,
-          &gateway_engine::build_sessions, &gateway_engine::build_lifecycle}) {
+          &gateway_engine::build_quota, &gateway_engine::build_sessions, &gateway_engine::build_lifecycle}) {
         if (auto built = (this->*step)(); !ok(built)) {
             return built;
         }
@@ -140,12 +140,17 @@
                                       .capacity = daemon_capacity(settings->processor_cores, settings->link_mbps),
                                       .incarnation = options_.incarnation}},
          .keys = options_.service_directory.keys,
-         .claim_order = [this](const std::string& service) { return relay_directory_.own_position(service); },
+         .claim_order =
+             [this](const std::string& lock) {
+                 return is_quota_lock(lock) ? quota_claim_order(lock) : relay_directory_.own_position(lock);
+             },
          .uses_lock =
              [this](const std::string& service) {
                  const auto change = primary_changes_.find(service);
                  return change != primary_changes_.end() && change->second->in_progress();
              },
+         .lasting_locks = quota_locks(),
+         .claims_lasting_locks = [this] { return has_quotas_; },
          .fences_enforced = settings->fences_enforced,
          .call = [this](call_body body, duration timeout) { return call_store(std::move(body), timeout); },
          .encode_daemon = options_.encode_daemon,
@@ -174,24 +179,10 @@
              return directory_->configuration() ? std::nullopt : std::optional(error_kind::not_ready);
          },
          .submit = [this](const task_request& request, instant now) { return submit(request, now); },
-         .cancel =
-             [this](task_number task, instant now) {
-                 if (!statement_relay_->cancel(task)) {
-                     dispatcher_->cancel(task, now);
-                 }
-             },
-         .expire =
-             [this](task_number task, instant now) {
-                 if (!statement_relay_->expire(task, now)) {
-                     dispatcher_->expire(task, now);
-                 }
-             },
+         .cancel = [this](task_number task, instant now) { cancel(task, now); },
+         .expire = [this](task_number task, instant now) { expire(task, now); },
          .release = [this](connection_number connection, instant now) { release(connection, now); },
-         .locate =
-             [this](task_number task) {
-                 const auto relayed = statement_relay_->locate(task);
-                 return relayed ? relayed : dispatcher_->locate(task);
-             },
+         .locate = [this](task_number task) { return locate(task); },
          .peer_of = [this](connection_number connection) { return statement_relay_->peer_of(connection); },
          .answered =
              [this](const route& matched_route, const task_outcome& outcome, duration took) {
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -97,6 +97,9 @@
     for (const auto& [name, since] : relay_directory_.pinned()) {
         pinned.insert(name);
     }
+    for (std::uint32_t group = 0; has_quotas_ && group < quota_group_count; ++group) {
+        pinned.insert(listed_quota_holder(group));
+    }
     peer_candidates_fields candidates;
     for (const auto& [name, entry] : directory_->daemons()) {
         if (name == options_.settings->name || entry->peer_address.empty()) {
@@ -124,9 +127,40 @@
     directory_changed_ = true;
 }
 
+/// Runs a statement, unless it begins an operation of a tenant whose quota does not admit it.
+task_number gateway_engine::submit(const task_request& request, instant now)
+{
+    const bool begins_operation = request->kind != transaction_step::in_transaction;
+    return begins_operation && quota_gate_->limits(request->tenant) ? submit_limited(request, now)
+                                                                    : submit_admitted(request, now);
+}
+
+void gateway_engine::cancel(task_number task, instant now)
+{
+    if (!cancel_quota_operation(task, now) && !statement_relay_->cancel(task)) {
+        dispatcher_->cancel(task, now);
+    }
+}
+
+void gateway_engine::expire(task_number task, instant now)
+{
+    if (!expire_quota_operation(task, now) && !statement_relay_->expire(task, now)) {
+        dispatcher_->expire(task, now);
+    }
+}
+
+std::optional<statement_location> gateway_engine::locate(task_number task) const
+{
+    if (quota_operations_.contains(task)) {
+        return statement_location{{.stage = statement_stage::queued}};
+    }
+    const auto relayed = statement_relay_->locate(task);
+    return relayed ? relayed : dispatcher_->locate(task);
+}
+
 /// Runs a statement here, or relays it to a connected daemon that is assigned to its service if this daemon is not.
 /// Statements of a transaction follow the first one.
-task_number gateway_engine::submit(const task_request& request, instant now)
+task_number gateway_engine::submit_admitted(const task_request& request, instant now)
 {
     if (request->kind == transaction_step::in_transaction) {
         const std::string peer = statement_relay_->peer_of(request->connection);
--- a/src/gateway/gateway_engine_report.cc
+++ b/src/gateway/gateway_engine_report.cc
@@ -29,9 +29,38 @@
                                   .idle = each.idle.size(),
                                   .running = each.running});
     }
+    report_quotas(fields, now);
     return gateway_report{std::move(fields)};
 }
 
+void gateway_engine::report_quotas(gateway_report_fields& fields, instant now) const
+{
+    for (const gated_quota& each : quota_gate_->quotas()) {
+        if (each.admitted_total + each.refused_total + each.waiting == 0) {
+            continue;
+        }
+        reported_quota reported{.tenant = each.tenant,
+                                .rate_per_s = each.rate_per_s,
+                                .burst = each.burst,
+                                .admitted = each.admitted_total,
+                                .refused = each.refused_total,
+                                .waiting = each.waiting};
+        for (std::uint32_t part = 0; part < quota_part_count; ++part) {
+            reported.holders.push_back(listed_quota_holder(quota_group(each.tenant, part)));
+        }
+        fields.quotas.push_back(std::move(reported));
+    }
+    for (const held_quota& each : quota_holder_->held(now)) {
+        if (each.granted_total + each.declined_total > 0) {
+            fields.quota_parts.push_back({.tenant = each.tenant,
+                                          .part = each.part,
+                                          .level = each.level,
+                                          .granted = each.granted_total,
+                                          .declined = each.declined_total});
+        }
+    }
+}
+
 void gateway_engine::report_session_end(const session_end& end)
 {
     metrics_.count("sessions_ended_total{reason=\"" + std::string(session_end_reason_name(end->reason)) + "\"}");
--- a/src/gateway/gateway_report.h
+++ b/src/gateway/gateway_report.h
@@ -41,6 +41,30 @@
     friend auto operator<=>(const reported_service&, const reported_service&) = default;
 };
 
+/// Quota of one tenant as a daemon sees it.
+struct reported_quota {
+    std::string tenant;
+    double rate_per_s = 0;
+    double burst = 0;
+    std::vector<std::string> holders; ///< Daemons that grant the parts of the quota; empty names if none does.
+    std::uint64_t admitted = 0;       ///< Operations since the daemon's start.
+    std::uint64_t refused = 0;        ///< As admitted.
+    std::size_t waiting = 0;          ///< Operations that wait for a holder.
+
+    friend auto operator<=>(const reported_quota&, const reported_quota&) = default;
+};
+
+/// Part of a tenant's quota that a daemon holds.
+struct reported_quota_part {
+    std::string tenant;
+    std::uint32_t part = 0;
+    double level = 0; ///< Operations that could be granted now.
+    std::uint64_t granted = 0;
+    std::uint64_t declined = 0;
+
+    friend auto operator<=>(const reported_quota_part&, const reported_quota_part&) = default;
+};
+
 /// Fields of a gateway report.
 struct gateway_report_fields {
     std::string daemon;
@@ -53,6 +77,8 @@
     std::size_t peers = 0;      ///< Connected peers.
     std::vector<reported_service> services;
     std::vector<reported_member> members;
+    std::vector<reported_quota> quotas;           ///< Of tenants that have sent operations here.
+    std::vector<reported_quota_part> quota_parts; ///< Held by this daemon and in use.
 
     friend auto operator<=>(const gateway_report_fields&, const gateway_report_fields&) = default;
 };
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -28,6 +28,9 @@
     duration drain_bound = std::chrono::seconds(7);        ///< A draining member must get no new work after this time.
     duration grace = std::chrono::seconds(6);              ///< From the termination signal until the process is killed.
     duration config_apply_bound = std::chrono::seconds(3); ///< Time in which a new configuration must take effect.
+    duration quota_window = std::chrono::seconds(5);       ///< Sliding window in which tenants' operations are counted.
+    double quota_overage = 0;                              ///< Fraction by which a window may exceed a quota.
+    double quota_slack = 0;                                ///< Operations by which a window may exceed a quota as well.
     std::uint32_t max_descriptors = 1024;
     double processor_cores = default_processor_cores; ///< Processor time that the instance may use, in cores.
     double link_mbps = default_link_mbps;             ///< Bandwidth of the instance's link.
--- a/src/gateway/report_json.cc
+++ b/src/gateway/report_json.cc
@@ -33,6 +33,22 @@
             {"idle", each.idle},       {"running", each.running}};
 }
 
+json to_json(const reported_quota& each)
+{
+    return {{"tenant", each.tenant},   {"rate_per_s", each.rate_per_s}, {"burst", each.burst},
+            {"holders", each.holders}, {"admitted", each.admitted},     {"refused", each.refused},
+            {"waiting", each.waiting}};
+}
+
+json to_json(const reported_quota_part& each)
+{
+    return {{"tenant", each.tenant},
+            {"part", each.part},
+            {"level", each.level},
+            {"granted", each.granted},
+            {"declined", each.declined}};
+}
+
 } // namespace
 
 std::string report_json(const gateway_report& report)
@@ -46,13 +62,21 @@
               {"daemons", report->daemons},
               {"peers", report->peers},
               {"services", json::array()},
-              {"members", json::array()}};
+              {"members", json::array()},
+              {"quotas", json::array()},
+              {"quota_parts", json::array()}};
     for (const reported_service& each : report->services) {
         text["services"].push_back(to_json(each));
     }
     for (const reported_member& each : report->members) {
         text["members"].push_back(to_json(each));
     }
+    for (const reported_quota& each : report->quotas) {
+        text["quotas"].push_back(to_json(each));
+    }
+    for (const reported_quota_part& each : report->quota_parts) {
+        text["quota_parts"].push_back(to_json(each));
+    }
     return text.dump() + "\n";
 }
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -188,6 +188,28 @@
     return {wire::body::relayed_end, wire::Createrelayed_end(out, 0, 0, leaving).Union()};
 }
 
+encoded_body encode_body(builder& out, const quota_request& value)
+{
+    std::vector<flatbuffers::Offset<wire::quota_demand>> demands;
+    for (const quota_demand& each : value->demands) {
+        demands.push_back(wire::Createquota_demandDirect(out, each->tenant.c_str(), each->part, each->waiting,
+                                                         each->ahead, each->rate_per_s, each->burst));
+    }
+    return {wire::body::quota_request,
+            wire::Createquota_requestDirect(out, value->number, value->version, &demands).Union()};
+}
+
+encoded_body encode_body(builder& out, const quota_grant& value)
+{
+    std::vector<flatbuffers::Offset<wire::quota_allowance>> allowances;
+    for (const quota_allowance& each : value->allowances) {
+        const auto retry_after_us = static_cast<std::uint64_t>(std::max(each->retry_after, duration{}).count());
+        allowances.push_back(wire::Createquota_allowanceDirect(out, each->tenant.c_str(), each->part, each->held,
+                                                               each->granted, retry_after_us));
+    }
+    return {wire::body::quota_grant, wire::Createquota_grantDirect(out, value->number, &allowances).Union()};
+}
+
 std::string text(const flatbuffers::String* source)
 {
     return source == nullptr ? std::string{} : source->str();
@@ -288,6 +310,38 @@
                        .receive_timeout = std::chrono::milliseconds(source.receive_timeout_ms())}};
 }
 
+peer_message read_quota_request(const wire::quota_request& source)
+{
+    quota_request_fields fields{.number = source.number(), .version = source.version()};
+    for (flatbuffers::uoffset_t i = 0; source.demands() != nullptr && i < source.demands()->size(); ++i) {
+        const auto* each = source.demands()->Get(i);
+        fields.demands.push_back(quota_demand{{.tenant = text(each->tenant()),
+                                               .part = each->part(),
+                                               .waiting = each->waiting(),
+                                               .ahead = each->ahead(),
+                                               .rate_per_s = each->rate_per_s(),
+                                               .burst = each->burst()}});
+    }
+    return quota_request{std::move(fields)};
+}
+
+peer_message read_quota_grant(const wire::quota_grant& source)
+{
+    constexpr duration longest_retry = std::chrono::hours(1);
+    quota_grant_fields fields{.number = source.number()};
+    for (flatbuffers::uoffset_t i = 0; source.allowances() != nullptr && i < source.allowances()->size(); ++i) {
+        const auto* each = source.allowances()->Get(i);
+        const auto retry_after_us = std::min(each->retry_after_us(), static_cast<std::uint64_t>(longest_retry.count()));
+        fields.allowances.push_back(
+            quota_allowance{{.tenant = text(each->tenant()),
+                             .part = each->part(),
+                             .held = each->held(),
+                             .granted = each->granted(),
+                             .retry_after = duration(static_cast<duration::rep>(retry_after_us))}});
+    }
+    return quota_grant{std::move(fields)};
+}
+
 std::optional<peer_message> read_body(const wire::peer_message& source)
 {
     switch (source.body_type()) {
@@ -353,6 +407,10 @@
         }
         return relayed_end{{.transaction = end->transaction(), .number = end->number()}};
     }
+    case wire::body::quota_request:
+        return read_quota_request(*source.body_as_quota_request());
+    case wire::body::quota_grant:
+        return read_quota_grant(*source.body_as_quota_grant());
     case wire::body::NONE:
         break;
     }
--- a/src/quota/quota_parts.cc
+++ b/src/quota/quota_parts.cc
@@ -72,6 +72,15 @@
     return std::string(lock_prefix) + std::to_string(group);
 }
 
+std::set<std::string> quota_locks()
+{
+    std::set<std::string> locks;
+    for (std::uint32_t group = 0; group < quota_group_count; ++group) {
+        locks.insert(quota_lock(group));
+    }
+    return locks;
+}
+
 bool is_quota_lock(const std::string& name)
 {
     return name.starts_with(lock_prefix);
--- a/src/quota/quota_parts.h
+++ b/src/quota/quota_parts.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace citronfall {
@@ -42,6 +43,9 @@
 /// Name of the lock that the holder of a group has. Thread-safe.
 [[nodiscard]] std::string quota_lock(std::uint32_t group);
 
+/// The names of all these locks. Thread-safe.
+[[nodiscard]] std::set<std::string> quota_locks();
+
 /// Whether a lock is that of a group of quotas. Thread-safe.
 [[nodiscard]] bool is_quota_lock(const std::string& name);
 
--- a/src/registration/daemon_registrar.cc
+++ b/src/registration/daemon_registrar.cc
@@ -99,8 +99,15 @@
 /// A lock that is attached to an earlier lease of this daemon is not its own: the store removes it with that lease.
 bool daemon_registrar::is_own(const failover_lock& lock) const
 {
+    const lease_client& lease = lease_of(lock->service);
     return lock->holder == options_.self->name && lock->incarnation == options_.self->incarnation &&
-           lock->lease == lock_lease_->lease() && lock->acquired_at.era == lock_lease_->era();
+           lock->lease == lease.lease() && lock->acquired_at.era == lease.era();
+}
+
+/// The lease that a lock is attached to.
+lease_client& daemon_registrar::lease_of(const std::string& lock) const
+{
+    return options_.lasting_locks.contains(lock) ? *registration_lease_ : *lock_lease_;
 }
 
 void daemon_registrar::claim_failover_locks(instant now)
@@ -109,15 +116,23 @@
     if (!directory_.configuration() || !directory_.daemons().contains(options_.self->name)) {
         return;
     }
-    for (const std::string& service : directory_.used_services()) {
-        const auto order = options_.claim_order(service);
-        const auto due = order ? claim_failover_lock(service, *order, now) : release_failover_lock(service, now);
-        if (due) {
+    std::set<std::string> locks = directory_.used_services();
+    if (options_.claims_lasting_locks && options_.claims_lasting_locks()) {
+        locks.insert(options_.lasting_locks.begin(), options_.lasting_locks.end());
+    }
+    for (const std::string& lock : locks) {
+        if (const auto due = claim_or_release(lock, now)) {
             claims_due_ = claims_due_ ? std::min(*claims_due_, *due) : *due;
         }
     }
 }
 
+std::optional<instant> daemon_registrar::claim_or_release(const std::string& lock, instant now)
+{
+    const auto order = options_.claim_order(lock);
+    return order ? claim_failover_lock(lock, *order, now) : release_failover_lock(lock, now);
+}
+
 /// Gives up the lock of a service that this daemon is no longer assigned to: it has no connections to judge the primary
 /// by. Returns when to look at it again; nothing if it holds no lock.
 std::optional<instant> daemon_registrar::release_failover_lock(const std::string& service, instant now)
@@ -133,7 +148,7 @@
         const expected_revision condition{{.key = key, .revision = held->second->acquired_at.revision}};
         const call_number number =
             options_.call(change_items{{.expected = {condition}, .deletes = {key}}}, write_timeout);
-        pending_writes_[number] = {.key = key, .lease = lock_lease_->lease()};
+        pending_writes_[number] = {.key = key, .lease = lease_of(service).lease()};
     }
     return std::max(next_attempts_[key], now + min_write_interval);
 }
@@ -159,28 +174,29 @@
     if (free && now < turn) {
         return turn;
     }
-    claims_locks_ = true;
-    if (lock_lease_->lease() == 0) {
+    claims_locks_ = claims_locks_ || !options_.lasting_locks.contains(service);
+    if (lease_of(service).lease() == 0) {
         return std::nullopt; // Its grant makes the claim due.
     }
-    const std::string key = options_.keys.failover_locks + service;
     const failover_lock wanted{
         {.service = service, .holder = options_.self->name, .incarnation = options_.self->incarnation}};
-    write(key, options_.encode_failover_lock(wanted), free ? 0 : held->second->acquired_at.revision, now);
-    return next_attempts_[key];
+    write_lock(service, options_.encode_failover_lock(wanted), free ? 0 : held->second->acquired_at.revision, now);
+    return next_attempts_[options_.keys.failover_locks + service];
 }
 
-void daemon_registrar::write(const std::string& key, const std::string& value, kv_revision expected, instant now)
+void daemon_registrar::write_lock(const std::string& lock, const std::string& value, kv_revision expected, instant now)
 {
+    const std::string key = options_.keys.failover_locks + lock;
+    const lease_number lease = lease_of(lock).lease();
     if (now < next_attempts_[key]) {
         return;
     }
     next_attempts_[key] = now + min_write_interval;
-    const call_number number = options_.call(
-        change_items{{.expected = {expected_revision{{.key = key, .revision = expected}}},
-                      .writes = {store_item{{.key = key, .value = value, .lease = lock_lease_->lease()}}}}},
-        write_timeout);
-    pending_writes_[number] = {.key = key, .lease = lock_lease_->lease()};
+    const call_number number =
+        options_.call(change_items{{.expected = {expected_revision{{.key = key, .revision = expected}}},
+                                    .writes = {store_item{{.key = key, .value = value, .lease = lease}}}}},
+                      write_timeout);
+    pending_writes_[number] = {.key = key, .lease = lease};
 }
 
 bool daemon_registrar::handle(const store_answer& answer, instant now)
@@ -233,6 +249,16 @@
     return fencing_token(held->second->acquired_at);
 }
 
+std::optional<std::uint64_t> daemon_registrar::held_lasting_lock(const std::string& name, instant now) const
+{
+    const auto held = directory_.failover_locks().find(name);
+    if (deregistered_ || held == directory_.failover_locks().end() || !is_own(held->second) ||
+        !lease_of(name).valid(now)) {
+        return std::nullopt;
+    }
+    return fencing_token(held->second->acquired_at);
+}
+
 void daemon_registrar::fence_refused(const std::string& service, std::uint64_t fence)
 {
     refused_fences_[service] = std::max(refused_fences_[service], fence);
@@ -244,8 +270,7 @@
     if (held == directory_.failover_locks().end() || !is_own(held->second) || lock_lease_->lease() == 0) {
         return;
     }
-    write(options_.keys.failover_locks + service, options_.encode_failover_lock(held->second),
-          held->second->acquired_at.revision, now);
+    write_lock(service, options_.encode_failover_lock(held->second), held->second->acquired_at.revision, now);
 }
 
 } // namespace citronfall
--- a/src/registration/daemon_registrar.h
+++ b/src/registration/daemon_registrar.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace citronfall {
@@ -21,6 +22,9 @@
     /// Position of this daemon, from 0, among those that may claim the lock of a service; nothing if it may not.
     std::function<std::optional<std::size_t>(const std::string& service)> claim_order;
     std::function<bool(const std::string& service)> uses_lock; ///< Whether a change of primary is in progress here.
+    /// Locks besides those of services, attached to the registration's lease: they outlast a short outage of the store.
+    std::set<std::string> lasting_locks{};
+    std::function<bool()> claims_lasting_locks{}; ///< Whether these locks are of use; empty: they are not.
     bool fences_enforced = true; ///< The platform rejects promotions with a fencing token below one it has seen.
     std::function<call_number(call_body, duration timeout)> call;
     std::function<std::string(const daemon_registration&)> encode_daemon;
@@ -62,6 +66,10 @@
     /// platform enforces fencing tokens and no other holder is known.
     [[nodiscard]] std::optional<std::uint64_t> fence(const std::string& service, instant now) const;
 
+    /// The fencing token of a lasting lock that this daemon certainly holds at `now`; empty if its lease may have
+    /// ended.
+    [[nodiscard]] std::optional<std::uint64_t> held_lasting_lock(const std::string& name, instant now) const;
+
     /// Reports that the platform rejected `fence` because it has seen a higher token: the lock is no longer held.
     void fence_refused(const std::string& service, std::uint64_t fence);
 
@@ -88,7 +96,9 @@
     [[nodiscard]] std::optional<instant> release_failover_lock(const std::string& service, instant now);
     [[nodiscard]] std::optional<instant> claim_failover_lock(const std::string& service, std::size_t order,
                                                              instant now);
-    void write(const std::string& key, const std::string& value, kv_revision expected, instant now);
+    [[nodiscard]] std::optional<instant> claim_or_release(const std::string& lock, instant now);
+    [[nodiscard]] lease_client& lease_of(const std::string& lock) const;
+    void write_lock(const std::string& lock, const std::string& value, kv_revision expected, instant now);
     [[nodiscard]] bool is_own(const failover_lock& lock) const;
 
     daemon_registrar_options options_;
