Give back the admission of an operation that no member ran

Overloaded members refuse some operations, whose callers come again: each attempt took a grant, and a tenant below its limit could be refused. Test: an admission is given back until its grant lapses.

--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -126,6 +126,7 @@
     [[nodiscard]] quota_grant answer_quota_request(const quota_request& request, instant now);
     task_number submit_limited(const task_request& request, instant now);
     void finish_quota_work(instant now);
+    void note_quota_outcome(const task_request& request, const task_outcome& ended, instant now);
     void finish_quota_operation(task_number number, const quota_admission& admission, instant now);
     void fail_quota_operation(const task_request& request, const error& failure, instant now);
     bool cancel_quota_operation(task_number number, instant now);
@@ -186,6 +187,7 @@
     std::optional<std::uint64_t> quota_version_; ///< Version of the configuration that the quotas are from.
     std::size_t quota_daemons_ = 0;              ///< Number of daemons by which quotas are divided; 0: not known.
     bool has_quotas_ = false;                    ///< The configuration in force limits a tenant.
+    std::map<session_number, quota_admission> admitted_operations_;        ///< Whose first statement is in progress.
     std::map<task_number, task_request> quota_operations_;                 ///< Operations that wait for a quota.
     std::vector<std::pair<task_number, quota_admission>> quota_decisions_; ///< Not yet applied.
     std::vector<quota_request> own_quota_requests_; ///< To quotas that this daemon holds; not yet answered.
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -77,6 +77,7 @@
                                             if (statement_relay::is_relayed_session(request->session)) {
                                                 statement_relay_->finished(request, outcome, now);
                                             } else {
+                                                note_quota_outcome(request, outcome, now);
                                                 sessions_->finished(request, outcome, now);
                                             }
                                         },
--- a/src/gateway/gateway_engine_quota.cc
+++ b/src/gateway/gateway_engine_quota.cc
@@ -153,6 +153,7 @@
     const task_number number = first_quota_operation + ++last_quota_operation_;
     const quota_admission admission = quota_gate_->admit(request->tenant, number, now);
     if (admission->decision == quota_decision::admitted) {
+        admitted_operations_.insert_or_assign(request->session, admission);
         return submit_admitted(request, now);
     }
     quota_operations_.emplace(number, request);
@@ -162,6 +163,22 @@
     return number;
 }
 
+/// Gives back the admission of an operation whose first statement no member has run.
+void gateway_engine::note_quota_outcome(const task_request& request, const task_outcome& ended, instant now)
+{
+    const auto admitted = admitted_operations_.find(request->session);
+    if (admitted == admitted_operations_.end()) {
+        return;
+    }
+    // A lost transaction has run in part.
+    const bool not_run = ended->failure && (*ended->failure)->kind != error_kind::transaction_lost &&
+                         error_row_for((*ended->failure)->kind).effect == outcome::not_run;
+    if (not_run) {
+        quota_gate_->give_back(request->tenant, admitted->second, now);
+    }
+    admitted_operations_.erase(admitted);
+}
+
 /// Runs the operations that were admitted, reports those that were refused, and sends requests that are due.
 void gateway_engine::finish_quota_work(instant now)
 {
@@ -187,6 +204,7 @@
     const task_request request = found->second;
     quota_operations_.erase(found);
     if (admission->decision == quota_decision::admitted) {
+        admitted_operations_.insert_or_assign(request->session, admission);
         const task_number task = submit_admitted(request, now);
         sessions_->renumber(request->session, number, task);
         return;
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -28,8 +28,11 @@
             },
         .cancel = [this](task_number task, instant now) { dispatcher_->cancel(task, now); },
         .release = [this](connection_number connection, instant now) { pool_->release(connection, now); },
-        .finished = [this](const task_request& request, const task_outcome& outcome,
-                           instant now) { sessions_->finished(request, outcome, now); },
+        .finished =
+            [this](const task_request& request, const task_outcome& outcome, instant now) {
+                note_quota_outcome(request, outcome, now);
+                sessions_->finished(request, outcome, now);
+            },
         .connection_lost = [this](connection_number connection,
                                   instant now) { sessions_->connection_lost(connection, now); },
         .log =
@@ -137,6 +140,7 @@
 
 void gateway_engine::cancel(task_number task, instant now)
 {
+    // What is cancelled may have run: its admission is not given back.
     if (!cancel_quota_operation(task, now) && !statement_relay_->cancel(task)) {
         dispatcher_->cancel(task, now);
     }
--- a/src/gateway/gateway_engine_report.cc
+++ b/src/gateway/gateway_engine_report.cc
@@ -63,6 +63,7 @@
 
 void gateway_engine::report_session_end(const session_end& end)
 {
+    admitted_operations_.erase(end->session);
     metrics_.count("sessions_ended_total{reason=\"" + std::string(session_end_reason_name(end->reason)) + "\"}");
     metrics_.count("statements_unanswered_total", end->pending.size());
     log(end->pending.empty() ? log_priority::routine : log_priority::notable, "session_ended", log_fields(end));
--- a/src/quota/quota_admission.h
+++ b/src/quota/quota_admission.h
@@ -15,6 +15,7 @@
 struct quota_admission_fields {
     quota_decision decision = quota_decision::admitted;
     duration retry_after{}; ///< For a refusal: when the caller may come back.
+    instant lapses_at{};    ///< For an admission: until when it can be given back.
 
     friend auto operator<=>(const quota_admission_fields&, const quota_admission_fields&) = default;
 };
--- a/src/quota/quota_gate.cc
+++ b/src/quota/quota_gate.cc
@@ -87,7 +87,7 @@
                 {"admit",
                  [](context& each) {
                      ++each.gate.tenants_.at(each.operation.tenant).admitted_total;
-                     each.gate.decide(each.operation, quota_admission{});
+                     each.gate.decide(each.operation, quota_admission{{.lapses_at = each.lapses_at}});
                  }},
                 {"refuse",
                  [](context& each) {
@@ -99,10 +99,10 @@
 }
 
 /// Delivers an event to a waiting operation, which is forgotten if that ends its wait.
-void quota_gate::fire(quota_operation_number number, event what, std::uint64_t request, instant now)
+void quota_gate::fire(quota_operation_number number, event what, instant now, std::uint64_t request, instant lapses_at)
 {
     waiting_operation& operation = operations_.at(number);
-    context each{.gate = *this, .operation = operation, .request = request, .now = now};
+    context each{.gate = *this, .operation = operation, .request = request, .lapses_at = lapses_at, .now = now};
     operation.state = program_->fire(operation.state, what, each).state;
     if (program_->is_final(operation.state)) {
         std::erase(tenants_.at(operation.tenant).waiting, number);
@@ -146,12 +146,18 @@
 {
     tenant_state& state = tenants_.at(tenant);
     state.demand.add(now);
-    if (state.waiting.empty() && (take_granted(state, now) || state.own.take(1, now) > 0)) {
-        ++state.admitted_total;
-        if (wanted_ahead(state, now) > 0) {
-            asking_.insert(tenant);
+    if (state.waiting.empty()) {
+        auto lapses_at = take_granted(state, now);
+        if (!lapses_at && state.own.take(1, now) > 0) {
+            lapses_at = now; // The own part is not accounted by the lifetime of grants.
+        }
+        if (lapses_at) {
+            ++state.admitted_total;
+            if (wanted_ahead(state, now) > 0) {
+                asking_.insert(tenant);
+            }
+            return quota_admission{{.lapses_at = *lapses_at}};
         }
-        return quota_admission{};
     }
     const auto part = open_part(tenant, state, now);
     if (!part) {
@@ -171,23 +177,38 @@
     if (!operations_.contains(operation)) {
         return false;
     }
-    fire(operation, event::cancelled, 0, now);
+    fire(operation, event::cancelled, now);
     return true;
 }
 
-/// Takes an operation that was granted ahead and has not lapsed.
-bool quota_gate::take_granted(tenant_state& tenant, instant now) const
+/// Takes an operation that was granted ahead and has not lapsed. Returns when it would have lapsed; nothing if there is
+/// none.
+std::optional<instant> quota_gate::take_granted(tenant_state& tenant, instant now)
 {
     while (!tenant.ahead.empty() && tenant.ahead.front().lapses_at <= now) {
         tenant.ahead.pop_front();
     }
     if (tenant.ahead.empty()) {
-        return false;
+        return std::nullopt;
     }
+    const instant lapses_at = tenant.ahead.front().lapses_at;
     if (--tenant.ahead.front().operations == 0) {
         tenant.ahead.pop_front();
     }
-    return true;
+    return lapses_at;
+}
+
+void quota_gate::give_back(const std::string& tenant, const quota_admission& admission, instant now)
+{
+    const auto found = tenants_.find(tenant);
+    if (found == tenants_.end() || admission->lapses_at <= now) {
+        return;
+    }
+    if (found->second.waiting.empty()) {
+        found->second.ahead.push_front({.lapses_at = admission->lapses_at, .operations = 1});
+    } else {
+        grant(found->second, 1, admission->lapses_at, now);
+    }
 }
 
 bool quota_gate::is_open(const std::string& name, const tenant_state& tenant, std::uint32_t part, instant now) const
@@ -257,7 +278,7 @@
 void quota_gate::grant(tenant_state& tenant, std::uint32_t operations, instant lapses_at, instant now)
 {
     while (operations > 0 && !tenant.waiting.empty()) {
-        fire(tenant.waiting.front(), event::granted, 0, now);
+        fire(tenant.waiting.front(), event::granted, now, 0, lapses_at);
         --operations;
     }
     if (operations > 0 && lapses_at > now) {
@@ -276,7 +297,7 @@
         }
     }
     for (const quota_operation_number each : declined) {
-        fire(each, event::declined, 0, now);
+        fire(each, event::declined, now);
     }
 }
 
@@ -370,7 +391,7 @@
         for (const quota_operation_number operation : waiting) {
             const waiting_operation& asked = operations_.at(operation);
             if (asked.part == each->part && program_->handles(asked.state, event::sent)) {
-                fire(operation, event::sent, number, now);
+                fire(operation, event::sent, now, number);
             }
         }
     }
@@ -395,7 +416,7 @@
         }
     }
     for (const quota_operation_number each : expired) {
-        fire(each, event::expired, 0, now);
+        fire(each, event::expired, now);
     }
     flush(now);
 }
--- a/src/quota/quota_gate.h
+++ b/src/quota/quota_gate.h
@@ -77,6 +77,10 @@
     /// cancelled. Precondition: limits(tenant).
     [[nodiscard]] quota_admission admit(const std::string& tenant, quota_operation_number operation, instant now);
 
+    /// Gives back the admission of an operation that no member has run, for another one. Without effect if it has
+    /// lapsed.
+    void give_back(const std::string& tenant, const quota_admission& admission, instant now);
+
     /// Forgets a waiting operation. Returns false if it does not wait.
     bool cancel(quota_operation_number operation, instant now);
 
@@ -144,6 +148,7 @@
         quota_gate& gate;
         waiting_operation& operation;
         std::uint64_t request = 0; ///< For `sent`.
+        instant lapses_at{};       ///< For `granted`.
         instant now;
     };
 
@@ -151,9 +156,10 @@
 
     result<done> bind();
     static chart_bindings<context> bindings();
-    void fire(quota_operation_number number, event what, std::uint64_t request, instant now);
+    void fire(quota_operation_number number, event what, instant now, std::uint64_t request = 0,
+              instant lapses_at = {});
     void decide(const waiting_operation& operation, const quota_admission& admission);
-    [[nodiscard]] bool take_granted(tenant_state& tenant, instant now) const;
+    [[nodiscard]] static std::optional<instant> take_granted(tenant_state& tenant, instant now);
     [[nodiscard]] std::optional<std::uint32_t> open_part(const std::string& name, const tenant_state& tenant,
                                                          instant now) const;
     [[nodiscard]] bool is_open(const std::string& name, const tenant_state& tenant, std::uint32_t part,
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -379,6 +379,36 @@
     CHECK(ask(1, begin + first->retry_after)->retry_after > crowd);
 }
 
+TEST_CASE("an operation that no member ran gives back what admitted it, until that lapses", "[quota]")
+{
+    // Guards against tenants that are refused below their limit because overloaded members have used it up.
+    std::vector<quota_request> sent;
+    std::map<quota_operation_number, quota_admission> decided;
+    auto made =
+        quota_gate::make({.daemon = "a",
+                          .rule = quota_rule{},
+                          .holder = [](std::uint32_t) { return std::string("b"); },
+                          .send = [&](const std::string&, const quota_request& request) { sent.push_back(request); },
+                          .decided =
+                              [&](quota_operation_number number, const quota_admission& each) {
+                                  decided[number] = each;
+                              }});
+    const auto gate = take(std::move(made));
+    const instant begin{1000s};
+    gate->configure(1, {{"t", quota_limit{{.rate_per_s = 2, .burst = 2}}}}, 0, begin);
+    REQUIRE(gate->admit("t", 1, begin)->decision == quota_decision::waiting);
+    gate->flush(begin);
+    REQUIRE(sent.size() == 1);
+    const quota_allowance allowance{{.tenant = "t", .part = sent[0]->demands[0]->part, .granted = 1}};
+    gate->handle(quota_grant{{.number = sent[0]->number, .allowances = {allowance}}}, begin + 2ms);
+    REQUIRE(decided.at(1)->decision == quota_decision::admitted);
+
+    gate->give_back("t", decided.at(1), begin + 10ms);
+    CHECK(gate->admit("t", 2, begin + 20ms)->decision == quota_decision::admitted);
+    gate->give_back("t", decided.at(1), begin + quota_grant_lifetime);
+    CHECK(gate->admit("t", 3, begin + quota_grant_lifetime)->decision == quota_decision::waiting);
+}
+
 TEST_CASE("a daemon that does not hold a part grants nothing of it", "[quota]")
 {
     // Guards against two holders while daemons differ on who holds a lock.
