Read tenants and keys, and keep connections to members by tenant

Change: the configuration's tenants, keys and open routes are read. A session is identified by its key at its start, at each statement outside a transaction and within one; a withdrawn key rolls back open transactions (chart session, event key_withdrawn). Statements carry the tenant, also when they are relayed. A pooled connection belongs to one tenant; where the part of a member's limit is used up, the longest idle one of another tenant is closed. With tenants fewer daemons are assigned to a service, and each tenant has the same one on all daemons (relay/tenant_holders). Without tenants nothing changes.

--- a/include/citronfall/error_kind.h
+++ b/include/citronfall/error_kind.h
@@ -35,9 +35,10 @@
     statement_failed,
     statement_timeout,
     internal,
+    unknown_key,
 };
 
-/// Number of error kinds; `internal` is the last one.
-inline constexpr std::size_t error_kind_count = static_cast<std::size_t>(error_kind::internal) + 1;
+/// Number of error kinds; `unknown_key` is the last one. Daemons exchange the numbers, so new kinds come last.
+inline constexpr std::size_t error_kind_count = static_cast<std::size_t>(error_kind::unknown_key) + 1;
 
 } // namespace citronfall
--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -1573,7 +1573,8 @@
     VT_OWN_INDEX = 50,
     VT_OWN_AGE_US = 52,
     VT_VALUES = 54,
-    VT_TRANSACTION = 56
+    VT_TRANSACTION = 56,
+    VT_TENANT = 58
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1656,6 +1657,9 @@
   uint64_t transaction() const {
     return GetField<uint64_t>(VT_TRANSACTION, 0);
   }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1695,6 +1699,8 @@
            verifier.VerifyVector(values()) &&
            verifier.VerifyVectorOfTables(values()) &&
            VerifyField<uint64_t>(verifier, VT_TRANSACTION, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
            verifier.EndTable();
   }
 };
@@ -1784,6 +1790,9 @@
   void add_transaction(uint64_t transaction) {
     fbb_.AddElement<uint64_t>(relayed_statement::VT_TRANSACTION, transaction, 0);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(relayed_statement::VT_TENANT, tenant);
+  }
   explicit relayed_statementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1823,7 +1832,8 @@
     uint64_t own_index = 0,
     uint64_t own_age_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::session_value>>> values = 0,
-    uint64_t transaction = 0) {
+    uint64_t transaction = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0) {
   relayed_statementBuilder builder_(_fbb);
   builder_.add_transaction(transaction);
   builder_.add_own_age_us(own_age_us);
@@ -1833,6 +1843,7 @@
   builder_.add_target_us(target_us);
   builder_.add_timeout_us(timeout_us);
   builder_.add_number(number);
+  builder_.add_tenant(tenant);
   builder_.add_values(values);
   builder_.add_priority(priority);
   builder_.add_service(service);
@@ -1883,7 +1894,8 @@
     uint64_t own_index = 0,
     uint64_t own_age_us = 0,
     const std::vector<flatbuffers::Offset<citronfall::wire::session_value>> *values = nullptr,
-    uint64_t transaction = 0) {
+    uint64_t transaction = 0,
+    const char *tenant = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto name__ = name ? _fbb.CreateString(name) : 0;
@@ -1893,6 +1905,7 @@
   auto database__ = database ? _fbb.CreateString(database) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto values__ = values ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::session_value>>(*values) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return citronfall::wire::Createrelayed_statement(
       _fbb,
       number,
@@ -1921,7 +1934,8 @@
       own_index,
       own_age_us,
       values__,
-      transaction);
+      transaction,
+      tenant__);
 }
 
 struct relayed_outcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/caller_session/caller_event.h
+++ b/src/caller_session/caller_event.h
@@ -20,7 +20,7 @@
 struct caller_connected_fields {
     session_number session = 0;
     std::string database;
-    std::string caller; ///< Name under which the caller connects; only for logs.
+    std::string key; ///< Identifies the caller's tenant; a secret, never logged.
 
     friend auto operator<=>(const caller_connected_fields&, const caller_connected_fields&) = default;
 };
--- a/src/caller_session/caller_session.h
+++ b/src/caller_session/caller_session.h
@@ -22,6 +22,7 @@
 struct caller_session {
     session_number number = 0;
     std::string database;
+    std::string key; ///< Identifies the tenant; a secret, never logged.
     state_id state{};
     session_values values;
     std::map<std::string, prepared_shape> prepared;
--- a/src/caller_session/session_statements.cc
+++ b/src/caller_session/session_statements.cc
@@ -14,6 +14,11 @@
     return failure ? std::string(error_row_for((*failure)->kind).name) : "done";
 }
 
+std::string value_or_empty(const result<std::string>& name)
+{
+    return ok(name) ? value_of(name) : std::string{};
+}
+
 } // namespace
 
 void session_table::process(caller_session& session, const caller_statement& received, instant now)
@@ -38,6 +43,8 @@
     } else if ((begins || idle(session)) && hooks_.find_route(session.database) == nullptr) {
         answer(session, session_error(error_kind::unknown_database, session.database));
         send_answer(session, now);
+    } else if (!ok(tenant_of(session))) {
+        refuse_withdrawn(session, now);
     } else if (begins) {
         fire(session, event::begin, nullptr, now);
     } else if (query->verb == statement_verb::rollback) {
@@ -53,6 +60,34 @@
     }
 }
 
+/// Name of the session's tenant as of now. Within a transaction the route in force at its beginning counts.
+result<std::string> session_table::tenant_of(const caller_session& session) const
+{
+    if (!hooks_.identify) {
+        return std::string{};
+    }
+    const route* current =
+        session.transaction_route ? &*session.transaction_route : hooks_.find_route(session.database);
+    return current == nullptr ? std::string{} : hooks_.identify(*current, session.key);
+}
+
+/// Answers a statement of a caller whose key was withdrawn. Its transaction is rolled back, so a COMMIT or ROLLBACK is
+/// answered as in any failed transaction.
+void session_table::refuse_withdrawn(caller_session& session, instant now)
+{
+    hooks_.log("statement_refused", "id=" + (*session.current)->request_id +
+                                        " session=" + std::to_string(session.number) + " reason=unknown_key");
+    const statement_verb verb = (*session.current)->query->verb;
+    const bool ends = verb == statement_verb::commit || verb == statement_verb::rollback;
+    fire(session, event::key_withdrawn, nullptr, now);
+    if (ends && !idle(session)) {
+        fire(session, verb == statement_verb::commit ? event::run : event::roll_back, nullptr, now);
+        return;
+    }
+    answer(session, session_error(error_kind::unknown_key, session.database));
+    send_answer(session, now);
+}
+
 /// Ends the answer to a statement that crossed the notice of a close. It did not run, and no later one may: the caller
 /// may have pipelined them as parts of one transaction.
 void session_table::end_after_notice(caller_session& session, instant now)
@@ -109,6 +144,7 @@
     const parsed_statement& query = (*session.current)->query;
     task_request_fields fields{.session = session.number,
                                .request_id = (*session.current)->request_id,
+                               .tenant = value_or_empty(tenant_of(session)),
                                .query = query,
                                .matched_route = session.transaction_route ? *session.transaction_route
                                                                           : *hooks_.find_route(session.database),
--- a/src/caller_session/session_table.cc
+++ b/src/caller_session/session_table.cc
@@ -57,7 +57,7 @@
         each.table.answer(each.session, session_error(error_kind::transaction_lost, "the transaction was rolled back"));
     };
     return {.events = {"begin", "run", "roll_back", "answered_open", "answered_ended", "answered_failed",
-                       "connection_lost", "idle_too_long", "grace_over", "left"},
+                       "connection_lost", "idle_too_long", "grace_over", "key_withdrawn", "left"},
             .guards = {{"is_commit",
                         [](const context& each) {
                             return (*each.session.current)->query->verb == statement_verb::commit;
@@ -180,9 +180,14 @@
         refuse(started, error_kind::unknown_database);
         return;
     }
+    if (hooks_.identify && !ok(hooks_.identify(*hooks_.find_route(started->database), started->key))) {
+        refuse(started, error_kind::unknown_key);
+        return;
+    }
     caller_session& session = sessions_[started->session];
     session.number = started->session;
     session.database = started->database;
+    session.key = started->key;
     session.state = program_->initial();
     session.last_used = now;
     hooks_.reply(session_ready{{.session = started->session}});
@@ -342,6 +347,16 @@
     }
 }
 
+void session_table::end_withdrawn_transactions(instant now)
+{
+    for (auto& [number, session] : sessions_) {
+        if (!idle(session) && !session.current && !ok(tenant_of(session))) {
+            hooks_.log("transaction_ended", "session=" + std::to_string(number) + " reason=key_withdrawn");
+            fire(session, event::key_withdrawn, nullptr, now);
+        }
+    }
+}
+
 void session_table::tick(duration idle_limit, instant now)
 {
     admit_delayed_starts(now);
--- a/src/caller_session/session_table.h
+++ b/src/caller_session/session_table.h
@@ -26,6 +26,9 @@
 struct session_table_hooks {
     std::function<void(const caller_reply&)> reply;
     std::function<const route*(const std::string& database)> find_route; ///< Null if no route serves the database.
+    /// Name of the caller's tenant by its key, or empty if it needs none. Error (unknown_key): the key identifies no
+    /// tenant. Without this hook no caller needs a key.
+    std::function<result<std::string>(const route&, const std::string& key)> identify{};
     /// Reason to refuse a new session, if any. With not_ready its start waits a while for the daemon to become ready.
     std::function<std::optional<error_kind>(instant)> refuse_start;
     std::function<task_number(const task_request&, instant)> submit;
@@ -61,6 +64,10 @@
     /// Starts the sessions that waited for the daemon to become ready, or refuses those that waited for too long.
     void admit_delayed_starts(instant now);
 
+    /// Rolls back the open transactions of callers whose key identifies no tenant any more. Call it after each change
+    /// of the configuration; later statements of such callers are refused.
+    void end_withdrawn_transactions(instant now);
+
     /// Ends transactions that have been idle for longer than `idle_limit`; 0 disables the limit.
     void tick(duration idle_limit, instant now);
 
@@ -106,6 +113,7 @@
         connection_lost,
         idle_too_long,
         grace_over,
+        key_withdrawn,
         left,
     };
     struct context {
@@ -136,6 +144,8 @@
     void process(caller_session& session, const caller_statement& received, instant now);
     void process_local(caller_session& session, const parsed_statement& query);
     void process_next(session_number number, instant now);
+    [[nodiscard]] result<std::string> tenant_of(const caller_session& session) const;
+    void refuse_withdrawn(caller_session& session, instant now);
     [[nodiscard]] std::optional<error> check_runnable(const caller_session& session,
                                                       const parsed_statement& query) const;
     void run(caller_session& session, transaction_step kind, instant now);
--- a/src/core/error_table.cc
+++ b/src/core/error_table.cc
@@ -51,6 +51,7 @@
      "The statement was sent and no answer came within the timeout of its route."},
     {error_kind::internal, "internal", 500, outcome::unknown, true,
      "The daemon failed; ask again with the same request id."},
+    {error_kind::unknown_key, "unknown_key", 401, outcome::not_run, false, "No tenant has the caller's key."},
 });
 
 constexpr bool rows_match_enumeration()
--- a/src/deployment/route.h
+++ b/src/deployment/route.h
@@ -25,6 +25,7 @@
     duration target_latency{};  ///< Target time of an operation, from the caller's first attempt.
     duration max_staleness{};   ///< Bound of bounded_staleness and read_your_writes; 0 for primary.
     std::uint32_t priority = 0; ///< 0 is the highest.
+    bool open = false;          ///< Serves callers without a known key as well.
 
     friend auto operator<=>(const route_fields&, const route_fields&) = default;
 };
--- a/src/dispatch/statement_dispatcher.h
+++ b/src/dispatch/statement_dispatcher.h
@@ -120,6 +120,7 @@
     bool place_on_any(statement_task& task, const min_read_position& min_position, instant now);
     [[nodiscard]] std::vector<placement_candidate> candidates(const statement_task& task,
                                                               const min_read_position& min_position, instant now) const;
+    void open_for(const statement_task& task, const std::vector<placement_candidate>& list, instant now);
     void start_attempt(statement_task& task, const std::string& member, connection_number connection, instant now);
     [[nodiscard]] wait_conditions wait_conditions_of(const statement_task& task, std::size_t queued_ahead,
                                                      instant now) const;
--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -11,6 +11,9 @@
 /// before the read was decoded.
 constexpr duration staleness_margin = std::chrono::milliseconds(50);
 
+/// Idle connections that a candidate needs so that choose_member() admits it, the leader included.
+constexpr std::size_t connections_for_choice = 2;
+
 /// Assumed response time before the first answer of a service.
 constexpr duration default_latency = std::chrono::milliseconds(20);
 
@@ -58,8 +61,8 @@
     if (!leader || !pool_.accepts_statements(*leader, now)) {
         return false;
     }
-    const connection_number connection =
-        pool_.acquire(*leader, {.values = task.request->values, .waiting = waiting(service)}, now);
+    const connection_number connection = pool_.acquire(
+        *leader, {.tenant = task.request->tenant, .values = task.request->values, .waiting = waiting(service)}, now);
     if (connection == 0) {
         return false;
     }
@@ -92,7 +95,7 @@
                                             .local = each.entry->data_center == data_center_,
                                             .warming_up = now - each.first_seen_at < each.entry->warm_up_left,
                                             .reachability = each.health.reachability(),
-                                            .idle = each.idle.size(),
+                                            .idle = pool_.idle_connections(id, task.request->tenant),
                                             .running = each.running,
                                             .slots = each.entry->slots,
                                             .latency = each.latency.at(now, typical)}});
@@ -104,16 +107,11 @@
 {
     const auto list = candidates(task, min_position, now);
     const auto chosen = choose_member(list, hooks_.random);
-    const acquire_options wanted{.values = task.request->values,
+    const acquire_options wanted{.tenant = task.request->tenant,
+                                 .values = task.request->values,
                                  .waiting = waiting(task.request->matched_route->service)};
     if (!chosen) {
-        // No suitable connection is idle: asks for one more wherever the budget allows it.
-        for (const placement_candidate& each : list) {
-            if (each->reachability != member_reachability::silent && each->reachability != member_reachability::down &&
-                !each->draining) {
-                pool_.open_if_none_idle(each->member, wanted.waiting, now);
-            }
-        }
+        open_for(task, list, now);
         return false;
     }
     const connection_number connection = pool_.acquire(*chosen, wanted, now);
@@ -126,6 +124,36 @@
     return true;
 }
 
+/// No suitable connection is idle: asks for one more wherever the budget allows it. A tenant's statement asks for one
+/// at the best member only, because other tenants cannot use the connections that it would leave unused.
+void statement_dispatcher::open_for(const statement_task& task, const std::vector<placement_candidate>& list,
+                                    instant now)
+{
+    const std::string& tenant = task.request->tenant;
+    const std::size_t queued = waiting(task.request->matched_route->service);
+    if (tenant.empty()) {
+        for (const placement_candidate& each : list) {
+            if (each->reachability != member_reachability::silent && each->reachability != member_reachability::down &&
+                !each->draining) {
+                pool_.open_if_none_idle(each->member, tenant, queued, now);
+            }
+        }
+        return;
+    }
+    std::vector<placement_candidate> reachable;
+    for (const placement_candidate& each : list) {
+        if (pool_.is_opening(each->member, tenant)) {
+            return;
+        }
+        reachable.push_back(with(each, [](placement_candidate_fields& fields) {
+            fields.idle = std::max(fields.idle, connections_for_choice);
+        }));
+    }
+    if (const auto best = choose_member(reachable, hooks_.random)) {
+        pool_.open_if_none_idle(*best, tenant, queued, now);
+    }
+}
+
 void statement_dispatcher::start_attempt(statement_task& task, const std::string& member, connection_number connection,
                                          instant now)
 {
--- a/src/dispatch/statement_task.h
+++ b/src/dispatch/statement_task.h
@@ -52,6 +52,7 @@
 struct task_request_fields {
     session_number session = 0;
     std::string request_id;
+    std::string tenant; ///< Tenant of the caller; empty if it has none.
     parsed_statement query;
     std::optional<prepared_shape> shape; ///< Set for EXECUTE.
     route matched_route;
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <limits>
 #include <utility>
 
 namespace citronfall {
@@ -51,6 +52,7 @@
           {.name = options_.settings->name,
            .data_center = options_.settings->data_center,
            .capacity = daemon_capacity(options_.settings->processor_cores, options_.settings->link_mbps)}}),
+      keys_(options_.random(std::numeric_limits<std::uint64_t>::max())),
       last_suspicion_poll_(first_number_of_run(options_.incarnation))
 {
 }
@@ -372,6 +374,7 @@
         }
     }
     pool_->configure(members, shares, now);
+    update_keys(now);
     add_primary_changes(now);
     sessions_->admit_delayed_starts(now);
     send_candidates();
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -22,6 +22,7 @@
 #include "relay/expired_daemons.h"
 #include "relay/relay_directory.h"
 #include "relay/statement_relay.h"
+#include "tenancy/key_directory.h"
 
 #include <functional>
 #include <map>
@@ -100,11 +101,14 @@
     void finish_event(instant now);
 
     task_number submit(const task_request& request, instant now);
+    [[nodiscard]] result<std::string> identify(const route& matched_route, const std::string& key) const;
+    void update_keys(instant now);
     void release(connection_number connection, instant now);
     void report_session_end(const session_end& end);
     [[nodiscard]] bool is_relayed_here(const std::string& service, instant now) const;
     void note_relayed_here(const std::string& service, instant now);
-    [[nodiscard]] std::string relay_target(const std::string& service) const;
+    [[nodiscard]] std::string relay_target(const task_request& request);
+    [[nodiscard]] std::map<std::string, double> tenant_shares() const;
     void assign_daemons();
     void send_candidates();
     void announce_leave();
@@ -148,6 +152,8 @@
     std::map<std::string, service_state> services_;
     std::set<std::string> direct_services_; ///< Used services whose members this daemon connects to itself.
     relay_directory relay_directory_;
+    key_directory keys_;
+    std::uint64_t keys_version_ = 0;                 ///< Version of the configuration that the keys are from.
     std::map<std::string, instant> relayed_here_at_; ///< When a peer last relayed a statement here, by service.
     expired_daemons expired_daemons_;
     std::map<std::string, std::unique_ptr<primary_change>> primary_changes_;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -167,6 +167,8 @@
     auto sessions = session_table::make(
         {.reply = options_.send_reply,
          .find_route = [this](const std::string& database) { return directory_->find_route(database); },
+         .identify = [this](const route& matched_route,
+                            const std::string& key) { return identify(matched_route, key); },
          .refuse_start = [this](instant now) -> std::optional<error_kind> {
              if (!lifecycle_->accepts(now)) {
                  return error_kind::leaving;
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -22,8 +22,8 @@
         .run = [this](const task_request& request, instant now) { return dispatcher_->submit(request, now); },
         .accepts = [this] { return !lifecycle_->leaving(); },
         .target =
-            [this](const std::string& service) {
-                const std::string target = relay_target(service);
+            [this](const task_request& request) {
+                const std::string target = relay_target(request);
                 return relay_directory_.is_leaving(target) ? std::string{} : target;
             },
         .cancel = [this](task_number task, instant now) { dispatcher_->cancel(task, now); },
@@ -60,9 +60,29 @@
         const auto found = services.find(service);
         limits[service] = found == services.end() ? 0 : found->second->max_connections;
     }
+    relay_directory_.set_tenant_shares(tenant_shares());
     relay_directory_.configure(limits, others, now_);
 }
 
+/// Share of each tenant in the load that the operators allow. Tenants without a limit count as small, because nothing
+/// tells their size.
+std::map<std::string, double> gateway_engine::tenant_shares() const
+{
+    std::map<std::string, double> shares;
+    if (!directory_->configuration()) {
+        return shares;
+    }
+    double total = 0;
+    for (const auto& [name, policy] : (*directory_->configuration())->tenants) {
+        shares[name] = policy->rate_per_s;
+        total += policy->rate_per_s;
+    }
+    for (auto& [name, share] : shares) {
+        share = total > 0 ? share / total : 0;
+    }
+    return shares;
+}
+
 bool gateway_engine::is_relayed_here(const std::string& service, instant now) const
 {
     const auto found = relayed_here_at_.find(service);
@@ -78,11 +98,12 @@
     }
 }
 
-/// Of the daemons to which a statement of the service can be relayed, the one with the fewest pending answers; empty if
-/// there is none.
-std::string gateway_engine::relay_target(const std::string& service) const
+/// Of the daemons to which the statement can be relayed, the one with the fewest pending answers; empty if there is
+/// none.
+std::string gateway_engine::relay_target(const task_request& request)
 {
-    const std::vector<std::string>& targets = relay_directory_.targets(service);
+    const std::vector<std::string>& targets =
+        relay_directory_.targets(request->matched_route->service, request->tenant);
     const auto best =
         std::min_element(targets.begin(), targets.end(), [this](const std::string& a, const std::string& b) {
             return statement_relay_->pending_answers(a) < statement_relay_->pending_answers(b);
@@ -132,8 +153,8 @@
         const std::string peer = statement_relay_->peer_of(request->connection);
         return peer.empty() ? dispatcher_->submit(request, now) : statement_relay_->submit(peer, request, now);
     }
-    const std::string& service = request->matched_route->service;
-    const std::string target = direct_services_.contains(service) ? std::string{} : relay_target(service);
+    const bool direct = request->tenant.empty() && direct_services_.contains(request->matched_route->service);
+    const std::string target = direct ? std::string{} : relay_target(request);
     return target.empty() ? dispatcher_->submit(request, now) : statement_relay_->submit(target, request, now);
 }
 
--- a/src/peer/relay_codec.cc
+++ b/src/peer/relay_codec.cc
@@ -63,7 +63,7 @@
         micros(request->matched_route->max_staleness), request->matched_route->priority,
         static_cast<std::uint8_t>(request->kind), request->writes, request->wrote_before, request->proves_lead,
         request->newest_own_commit.has_value(), own->term, own->index, micros(value->own_commit_age), &values,
-        value->transaction);
+        value->transaction, request->tenant.c_str());
 }
 
 flatbuffers::Offset<wire::relayed_outcome> relay_codec::encode(flatbuffers::FlatBufferBuilder& out,
@@ -89,6 +89,7 @@
         return std::nullopt;
     }
     task_request_fields request{.request_id = text(source.request_id()),
+                                .tenant = text(source.tenant()),
                                 .query = parsed_statement{{.verb = static_cast<statement_verb>(source.verb()),
                                                            .text = text(source.text()),
                                                            .name = text(source.name()),
--- a/src/pool/member_command.h
+++ b/src/pool/member_command.h
@@ -16,6 +16,7 @@
     std::string address; ///< "ip:port"
     std::string service;
     std::string member; ///< Expected id; a different member at the address refuses the connection.
+    std::string tenant; ///< Tenant whose statements the connection serves; empty: the daemon's own or no tenant's.
 
     friend auto operator<=>(const open_member_connection_fields&, const open_member_connection_fields&) = default;
 };
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -239,7 +239,7 @@
             continue;
         }
         if (found != members_.end() && needs_connection(found->second)) {
-            open(found->second, now);
+            open(found->second, {}, now);
         }
         if (found != members_.end() && needs_connection(found->second)) {
             each->second = std::max(found->second.next_attempt, now + connection_check_interval);
@@ -250,7 +250,7 @@
     }
 }
 
-void member_pool::open(pooled_member& target, instant now)
+void member_pool::open(pooled_member& target, const std::string& tenant, instant now)
 {
     if (!target.listed || now < target.next_attempt || !may_open(demand(target), now)) {
         return;
@@ -259,6 +259,7 @@
     pooled_connection& opened = connections_[number];
     opened.number = number;
     opened.member = target.entry->id;
+    opened.tenant = tenant;
     opened.state = program_->initial();
     opened.opened_at = now;
     target.all.insert(number);
@@ -267,45 +268,8 @@
     hooks_.send(open_member_connection{{.connection = number,
                                         .address = target.entry->address,
                                         .service = target.entry->service,
-                                        .member = target.entry->id}});
-}
-
-connection_number member_pool::acquire(const std::string& member, const acquire_options& options, instant now)
-{
-    const auto found = members_.find(member);
-    if (found == members_.end()) {
-        return 0;
-    }
-    pooled_member& target = found->second;
-    if (target.idle.empty()) {
-        target.waiting = options.waiting;
-        open(target, now);
-        return 0;
-    }
-    const auto fitting = std::find_if(target.idle.begin(), target.idle.end(), [&](connection_number each) {
-        return connections_.at(each).values == options.values;
-    });
-    const auto clean = std::find_if(target.idle.begin(), target.idle.end(),
-                                    [&](connection_number each) { return connections_.at(each).values.empty(); });
-    connection_number chosen = *target.idle.begin();
-    if (fitting != target.idle.end()) {
-        chosen = *fitting;
-    } else if (clean != target.idle.end()) {
-        chosen = *clean;
-    }
-    pooled_connection& pooled = connections_.at(chosen);
-    fire(pooled, event::acquire, now);
-    pooled.lost = options.lost;
-    return chosen;
-}
-
-void member_pool::open_if_none_idle(const std::string& member, std::size_t waiting, instant now)
-{
-    const auto found = members_.find(member);
-    if (found != members_.end() && found->second.idle.empty()) {
-        found->second.waiting = waiting;
-        open(found->second, now);
-    }
+                                        .member = target.entry->id,
+                                        .tenant = tenant}});
 }
 
 void member_pool::send(connection_number connection, member_query query, exchange hooks)
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
 
 /// Options of acquire().
 struct acquire_options {
+    /// Tenant whose statement the connection will run; empty: no tenant's. Nothing: a statement of the daemon itself,
+    /// which any connection may run.
+    std::optional<std::string> tenant{};
     session_values values{};             ///< Session values of the session that will use the connection.
     std::size_t waiting = 1;             ///< Statements that wait for a connection to this member, including this one.
     std::function<void(instant)> lost{}; ///< Called if the connection ends while no statement is in flight on it.
@@ -76,9 +80,15 @@
     /// if none is idle, and opens one if the budget allows it.
     [[nodiscard]] connection_number acquire(const std::string& member, const acquire_options& options, instant now);
 
-    /// Opens one more connection to the member if none is idle and the budget allows it; `waiting` statements would use
-    /// it.
-    void open_if_none_idle(const std::string& member, std::size_t waiting, instant now);
+    /// Opens one more connection of the tenant to the member if it has none that is idle and the budget allows it;
+    /// `waiting` statements would use it. A tenant's connection may take the place of another tenant's idle one.
+    void open_if_none_idle(const std::string& member, const std::string& tenant, std::size_t waiting, instant now);
+
+    /// Idle connections to the member that can run statements of the tenant.
+    [[nodiscard]] std::size_t idle_connections(const std::string& member, const std::string& tenant) const;
+
+    /// Whether a connection of the tenant to the member is being opened.
+    [[nodiscard]] bool is_opening(const std::string& member, const std::string& tenant) const;
 
     /// Sends one statement. Precondition: the connection is handed out.
     void send(connection_number connection, member_query query, exchange hooks);
@@ -145,7 +155,10 @@
     static chart_bindings<context> bindings();
     void fire(pooled_connection& pooled, event what, instant now);
     static void record_latency(pooled_member& target, const member_reply& reply, duration latency, instant now);
-    void open(pooled_member& target, instant now);
+    void open(pooled_member& target, const std::string& tenant, instant now);
+    void open_for(pooled_member& target, const std::string& tenant, instant now);
+    void close_longest_idle(const pooled_member& target, const std::string& kept_tenant, instant now);
+    [[nodiscard]] connection_number choose_idle(const pooled_member& target, const acquire_options& options) const;
     void close_surplus(instant now);
     void keep_one_open(instant now);
     void check_members(instant now);
--- a/src/pool/pooled_connection.h
+++ b/src/pool/pooled_connection.h
@@ -18,6 +18,7 @@
 struct pooled_connection {
     connection_number number = 0;
     std::string member;
+    std::string tenant; ///< Tenant to which it belongs for good; empty: the daemon's own or no tenant's.
     state_id state{};
     transaction_state transaction = transaction_state::none; ///< As of the member's last answer.
     session_values values;                                   ///< Session values that are set on the connection.
--- a/src/relay/assigned_daemons.cc
+++ b/src/relay/assigned_daemons.cc
@@ -15,6 +15,9 @@
 /// Connections that an assigned daemon keeps to each member. With fewer, idle transactions could occupy all of them.
 constexpr double connections_per_assigned = 3;
 
+/// As above where a connection serves one tenant only: the tenants that meet at a daemon need connections of their own.
+constexpr double connections_per_assigned_by_tenant = 6;
+
 /// Minimum number of assigned daemons, so that a service survives the loss of two at once.
 constexpr std::size_t min_assigned = 3;
 
@@ -134,26 +137,29 @@
     return rank_of(hash_of_key(key), daemon);
 }
 
-std::size_t assigned_daemon_count(std::uint32_t limit, std::size_t daemons)
+std::size_t assigned_daemon_count(std::uint32_t limit, std::size_t daemons, connection_sharing sharing)
 {
     const double kept = limit * kept_fraction;
     if (limit == 0 || static_cast<double>(daemons) <= kept) {
         return daemons;
     }
-    return std::min(daemons, std::max(static_cast<std::size_t>(kept / connections_per_assigned), min_assigned));
+    const double per_daemon =
+        sharing == connection_sharing::by_tenant ? connections_per_assigned_by_tenant : connections_per_assigned;
+    return std::min(daemons, std::max(static_cast<std::size_t>(kept / per_daemon), min_assigned));
 }
 
 std::map<std::string, std::vector<std::string>> assigned_daemons(const std::map<std::string, std::uint32_t>& limits,
-                                                                 const std::vector<relay_candidate>& daemons)
+                                                                 const std::vector<relay_candidate>& daemons,
+                                                                 connection_sharing sharing)
 {
     std::size_t places = 0;
     for (const auto& [service, limit] : limits) {
-        places += assigned_daemon_count(limit, daemons.size());
+        places += assigned_daemon_count(limit, daemons.size(), sharing);
     }
     assigner assignments(daemons, places);
     std::map<std::string, std::vector<std::string>> assigned;
     for (const auto& [service, limit] : limits) {
-        assigned[service] = assignments.assign(service, assigned_daemon_count(limit, daemons.size()));
+        assigned[service] = assignments.assign(service, assigned_daemon_count(limit, daemons.size(), sharing));
     }
     return assigned;
 }
--- a/src/relay/relay_directory.cc
+++ b/src/relay/relay_directory.cc
@@ -1,5 +1,7 @@
 #include "relay/relay_directory.h"
 
+#include "relay/tenant_holders.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,7 +47,7 @@
 void relay_directory::configure(const std::map<std::string, std::uint32_t>& limits,
                                 const std::vector<relay_candidate>& daemons, instant now)
 {
-    if (limits == limits_ && daemons == daemons_) {
+    if (limits == limits_ && daemons == daemons_ && !std::exchange(shares_changed_, false)) {
         return;
     }
     limits_ = limits;
@@ -53,13 +55,24 @@
     std::vector<relay_candidate> all = daemons;
     all.push_back(self_);
     services_.clear();
-    for (const auto& [service, assignment] : make_service_assignments(limits_, all, self_)) {
+    for (const auto& [service, assignment] : make_service_assignments(limits_, all, self_, sharing())) {
         services_[service].assignment = assignment;
     }
     update_connected();
     update_pinned(now);
 }
 
+void relay_directory::set_tenant_shares(std::map<std::string, double> shares)
+{
+    shares_changed_ = shares_changed_ || shares != tenant_shares_;
+    tenant_shares_ = std::move(shares);
+}
+
+connection_sharing relay_directory::sharing() const
+{
+    return tenant_shares_.empty() ? connection_sharing::all_sessions : connection_sharing::by_tenant;
+}
+
 void relay_directory::connected(const std::string& peer, instant now)
 {
     if (peers_.insert(peer).second) {
@@ -108,6 +121,7 @@
     relays_somewhere_ = false;
     for (auto& [service, entry] : services_) {
         entry.connected.clear();
+        entry.tenant_targets.clear();
         for (const std::string& each : entry.assignment->targets) {
             if (peers_.contains(each)) {
                 entry.connected.push_back(each);
@@ -128,6 +142,9 @@
     const std::map<std::string, instant> before = std::exchange(pinned_, {});
     for (const auto& [service, entry] : services_) {
         std::size_t missing = entry.assignment->self_assigned ? max_connected_assigned : relay_targets_used;
+        if (sharing() == connection_sharing::by_tenant) {
+            missing = entry.assignment->targets.size(); // Each of them runs the statements of some tenants.
+        }
         for (const std::string& each : entry.assignment->targets) {
             if (missing > 0 && may_pin(each)) {
                 const auto known = before.find(each);
@@ -175,4 +192,51 @@
     return entry == nullptr ? no_daemons : entry->targets;
 }
 
+const std::vector<std::string>& relay_directory::targets(const std::string& service, const std::string& tenant)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return no_daemons;
+    }
+    if (sharing() == connection_sharing::all_sessions) {
+        return found->second.targets;
+    }
+    const auto [place, added] = found->second.tenant_targets.try_emplace(tenant);
+    if (added) {
+        place->second = tenant_targets(service, found->second, tenant);
+    }
+    return place->second;
+}
+
+/// The daemons that run the tenant's statements, of those that this daemon can use: where one is lost, the next in
+/// order takes its place.
+std::vector<std::string> relay_directory::tenant_targets(const std::string& service, const service_entry& entry,
+                                                         const std::string& tenant) const
+{
+    const auto share = tenant_shares_.find(tenant);
+    const std::vector<std::string>& assigned = entry.assignment->assigned;
+    std::size_t missing = tenant_holder_count(share == tenant_shares_.end() ? 0 : share->second, assigned.size());
+    std::vector<std::string> chosen;
+    for (const std::string& each : tenant_holder_order(service, tenant, assigned)) {
+        if (missing == 0) {
+            break;
+        }
+        if (each == self_->name) {
+            return {};
+        }
+        if (peers_.contains(each) && !leaving_.contains(each)) {
+            chosen.push_back(each);
+            --missing;
+        }
+    }
+    // The daemons that relay differ in the one that they prefer, as for statements without a tenant.
+    std::vector<std::string> preferred;
+    for (const std::string& each : entry.connected) {
+        if (std::find(chosen.begin(), chosen.end(), each) != chosen.end()) {
+            preferred.push_back(each);
+        }
+    }
+    return preferred;
+}
+
 } // namespace citronfall
--- a/src/relay/relay_directory.h
+++ b/src/relay/relay_directory.h
@@ -27,6 +27,11 @@
     void configure(const std::map<std::string, std::uint32_t>& limits, const std::vector<relay_candidate>& daemons,
                    instant now);
 
+    /// Sets the share of each tenant (0 to 1) in the load that the operators allow all tenants together. With tenants,
+    /// a connection serves one tenant only, and the statements of a small tenant meet at one assigned daemon. Takes
+    /// effect with the next configure().
+    void set_tenant_shares(std::map<std::string, double> shares);
+
     /// Reports that a peer connected.
     void connected(const std::string& peer, instant now);
 
@@ -57,6 +62,10 @@
     /// if possible, do not shut down. At most two; empty if none is connected.
     [[nodiscard]] const std::vector<std::string>& targets(const std::string& service) const;
 
+    /// As targets(), for the statements of a tenant: of the daemons that run them, those to which this daemon is
+    /// connected. Empty if this daemon is one of them itself or is not connected to any.
+    [[nodiscard]] const std::vector<std::string>& targets(const std::string& service, const std::string& tenant);
+
     /// Daemons to stay connected to.
     [[nodiscard]] const std::map<std::string, instant>& pinned() const { return pinned_; }
 
@@ -75,16 +84,22 @@
         service_assignment assignment;
         std::vector<std::string> connected;
         std::vector<std::string> targets;
+        std::map<std::string, std::vector<std::string>> tenant_targets; ///< By tenant; computed when first asked for.
     };
 
     void update_connected();
     void update_pinned(instant now);
     [[nodiscard]] bool may_pin(const std::string& daemon) const;
     [[nodiscard]] const service_entry* find(const std::string& service) const;
+    [[nodiscard]] std::vector<std::string> tenant_targets(const std::string& service, const service_entry& entry,
+                                                          const std::string& tenant) const;
+    [[nodiscard]] connection_sharing sharing() const;
 
     relay_candidate self_;
     std::map<std::string, std::uint32_t> limits_;
     std::vector<relay_candidate> daemons_;
+    std::map<std::string, double> tenant_shares_;
+    bool shares_changed_ = false;
     std::set<std::string> peers_;
     std::set<std::string> leaving_;
     std::map<std::string, service_entry> services_;
--- a/src/relay/service_assignment.h
+++ b/src/relay/service_assignment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronfall/immutable.h"
+#include "relay/assigned_daemons.h"
 #include "relay/relay_candidate.h"
 
 #include <cstdint>
@@ -26,6 +27,7 @@
 /// member accepts; `daemons` are the registered daemons, with `self`. Thread-safe.
 [[nodiscard]] std::map<std::string, service_assignment>
 make_service_assignments(const std::map<std::string, std::uint32_t>& limits,
-                         const std::vector<relay_candidate>& daemons, const relay_candidate& self);
+                         const std::vector<relay_candidate>& daemons, const relay_candidate& self,
+                         connection_sharing sharing = connection_sharing::all_sessions);
 
 } // namespace citronfall
--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -86,7 +86,7 @@
 bool statement_relay::send_elsewhere(task_number number, const std::string& refused_by, instant now)
 {
     sent_statement& sent = sent_.at(number);
-    const std::string target = hooks_.target(sent.request->matched_route->service);
+    const std::string target = hooks_.target(sent.request);
     if (target.empty() || target == refused_by) {
         return false;
     }
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -21,7 +21,7 @@
     std::function<void(const std::string& peer, const peer_message&)> send;
     std::function<task_number(const task_request&, instant)> run; ///< Runs a statement locally for another daemon.
     std::function<bool()> accepts; ///< Whether this daemon still runs new statements for others.
-    std::function<std::string(const std::string& service)> target; ///< Daemon to relay to; empty if there is none.
+    std::function<std::string(const task_request&)> target; ///< Daemon to relay to; empty if there is none.
     std::function<void(task_number, instant)> cancel;
     std::function<void(connection_number, instant)> release; ///< Rolls back an open transaction.
     std::function<void(const task_request&, const task_outcome&, instant)>
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -84,7 +84,7 @@
     // connections one by one.
     pool_fixture fixture;
     fixture.open_last(start);
-    fixture.pool->open_if_none_idle("m", 3, start);
+    fixture.pool->open_if_none_idle("m", {}, 3, start);
     CHECK(fixture.pool->acquire("m", {}, start) != 0);
 }
 
@@ -256,7 +256,7 @@
     fixture.pool->tick(start + 1500ms);
     CHECK(fixture.count<close_member_connection>() == 1);
 
-    fixture.pool->open_if_none_idle("m", 1, start + 2s);
+    fixture.pool->open_if_none_idle("m", {}, 1, start + 2s);
     REQUIRE(fixture.count<open_member_connection>() == 2);
     const connection_number refused = std::get<open_member_connection>(fixture.commands.back())->connection;
     fixture.pool->handle(
--- a/tests/relay_names_test.cc
+++ b/tests/relay_names_test.cc
@@ -25,7 +25,7 @@
                          return task_number{requests.size()};
                      },
                  .accepts = [] { return true; },
-                 .target = [](const std::string&) { return std::string{}; },
+                 .target = [](const task_request&) { return std::string{}; },
                  .cancel = [this](task_number task, instant) { cancelled.push_back(task); },
                  .release = [this](connection_number connection, instant) { released.push_back(connection); },
                  .finished = [this](const task_request&, const task_outcome&, instant) { ++finished; },
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -67,7 +67,8 @@
     return (static_cast<standin::member_session>(daemon) << 32U) | connection;
 }
 
-/// A fake configuration is "VERSION MAX_CONNECTIONS SYNC_REPLICAS DATABASE...".
+/// A fake configuration is "VERSION MAX_CONNECTIONS SYNC_REPLICAS WORD...". A word is the name of a database, or
+/// "TENANT=KEY".
 result<service_configuration> read_fake_deployment(std::string_view value)
 {
     std::istringstream words{std::string(value)};
@@ -77,6 +78,11 @@
     words >> fields.version >> connections >> sync_replicas;
     std::string database;
     while (words >> database) {
+        if (const auto equals = database.find('='); equals != std::string::npos) {
+            const std::string tenant = database.substr(0, equals);
+            fields.tenants[tenant] = tenant_policy{{.name = tenant, .keys = {database.substr(equals + 1)}}};
+            continue;
+        }
         auto consistency = read_consistency::read_your_writes;
         if (database == "fresh") {
             consistency = read_consistency::primary;
@@ -160,6 +166,7 @@
 
     std::unique_ptr<gateway_engine> engine;
     std::map<connection_number, std::string> connections; ///< Member by connection.
+    std::map<connection_number, std::string> tenants{};   ///< Tenant by connection.
     std::map<session_number, std::vector<received_reply>> replies;
     std::map<session_number, caller_connection> callers;
     duration caller_event_delay = message_delay;
@@ -189,8 +196,8 @@
                           !members_.at(order->member).silenced && service_.promote(order->member, now);
                       return accepted ? call_outcome::done : call_outcome::conflict;
                   }}),
-      max_connections_(chosen.max_connections), sync_replicas_(chosen.sync_replicas), first_start_(chosen.first_start),
-      random_state_(chosen.seed)
+      max_connections_(chosen.max_connections), sync_replicas_(chosen.sync_replicas), keys_(chosen.keys),
+      first_start_(chosen.first_start), random_state_(chosen.seed)
 {
     for (const std::string& id : member_ids(chosen.members)) {
         members_[id] = {};
@@ -374,10 +381,10 @@
     }
 }
 
-session_number gateway_simulation::open(std::size_t daemon, const std::string& database)
+session_number gateway_simulation::open(std::size_t daemon, const std::string& database, const std::string& key)
 {
     const session_number session = ++last_session_;
-    deliver_from_caller(daemon, caller_connected{{.session = session, .database = database}});
+    deliver_from_caller(daemon, caller_connected{{.session = session, .database = database, .key = key}});
     run(5ms);
     return session;
 }
@@ -533,6 +540,9 @@
     for (const std::string& each : databases) {
         value += " " + each;
     }
+    for (const auto& [tenant, key] : keys_) {
+        value += " " + tenant + "=" + key;
+    }
     write_entry("op/config", value);
 }
 
@@ -746,6 +756,7 @@
         close_later(connection_end_reason::rejected, 2 * message_delay, error{{.kind = *refusal, .detail = "fake"}});
     } else {
         daemons_[daemon]->connections[command->connection] = member;
+        daemons_[daemon]->tenants[command->connection] = command->tenant;
         deliver(daemon, member_event(member_connection_opened{{.connection = command->connection}}),
                 delivery_delay(link_name("from member", daemon, command->connection)));
     }
@@ -758,6 +769,9 @@
         return;
     }
     const bool forwarded = !query->request_id.empty();
+    if (forwarded) {
+        run_tenants_[query->request_id].insert(daemons_[daemon]->tenants[connection]);
+    }
     time_.after(forwarded ? service_time : duration{},
                 [this, daemon, connection, query] { answer_query(daemon, connection, query); });
 }
--- a/tests/support/gateway_simulation.h
+++ b/tests/support/gateway_simulation.h
@@ -30,7 +30,8 @@
         std::uint32_t max_connections = 20;
         std::uint32_t sync_replicas = 0; ///< In the configuration; the fake members do not wait for replicas.
         std::uint64_t seed = 1;
-        bool first_start = false; ///< The daemons start for the first time.
+        bool first_start = false;                  ///< The daemons start for the first time.
+        std::map<std::string, std::string> keys{}; ///< Key of each tenant, by tenant; without any, callers need none.
     };
 
     /// A reply to a caller and when it was sent.
@@ -53,7 +54,7 @@
     [[nodiscard]] instant now() const { return time_.now(); }
 
     /// Opens a session on a daemon and returns its number.
-    session_number open(std::size_t daemon, const std::string& database);
+    session_number open(std::size_t daemon, const std::string& database, const std::string& key = {});
 
     /// Sends a statement such as "READ x", "WRITE x", "BEGIN", "BEGIN READ", "COMMIT" or "ROLLBACK". Does nothing if
     /// the daemon has closed the connection.
@@ -97,6 +98,9 @@
     void lose_packets(double share) { lost_share_ = share; }
     void write_configuration(std::uint64_t version, const std::set<std::string>& databases);
 
+    /// Sets the key of each tenant in configurations that are written from now on.
+    void set_keys(std::map<std::string, std::string> keys) { keys_ = std::move(keys); }
+
     /// Copy of the store's contents.
     [[nodiscard]] standin::store_copy save_store() { return store_.copy(now()); }
 
@@ -139,6 +143,8 @@
     [[nodiscard]] bool stopped(std::size_t daemon) const;
     [[nodiscard]] std::size_t connections_in_use(const std::string& id) const; ///< Open transactions on the member.
     [[nodiscard]] std::size_t runs(const std::string& request_id) const; ///< How many times members ran the request.
+    /// Tenants on whose connections callers' statements were sent to members, by request id.
+    [[nodiscard]] const std::map<std::string, std::set<std::string>>& tenants_of_runs() const { return run_tenants_; }
     /// How often an item was written by a commit, and how often such a commit was not lost in a change of primary.
     struct write_count {
         std::size_t made = 0;
@@ -194,6 +200,8 @@
     std::map<std::string, std::string> written_; ///< Last value written by the operator or a member, by key.
     std::uint32_t max_connections_;
     std::uint32_t sync_replicas_;
+    std::map<std::string, std::string> keys_; ///< By tenant.
+    std::map<std::string, std::set<std::string>> run_tenants_;
     bool first_start_;
     std::size_t store_calls_ = 0;
     std::size_t cheap_store_calls_ = 0;
