--- a/src/deployment/service_configuration.h
+++ b/src/deployment/service_configuration.h
@@ -17,7 +17,7 @@
     std::uint64_t version = 0;
     std::map<std::string, route> routes; ///< By database.
     std::map<std::string, service_policy> services;
-    std::map<std::string, tenant_policy> tenants; ///< By name; empty: the deployment has no tenants.
+    std::map<std::string, tenant_policy> tenants; ///< By name; empty: callers need no key.
     duration idle_transaction_limit{};            ///< Idle transactions may be ended after this time; 0: never.
 
     friend auto operator<=>(const service_configuration_fields&, const service_configuration_fields&) = default;
--- a/src/dispatch/statement_task.h
+++ b/src/dispatch/statement_task.h
@@ -52,6 +52,7 @@
 struct task_request_fields {
     session_number session = 0;
     std::string request_id;
+    std::string tenant; ///< Tenant of the caller; empty if it has none.
     parsed_statement query;
     std::optional<prepared_shape> shape; ///< Set for EXECUTE.
     route matched_route;
@@ -62,7 +63,6 @@
     std::optional<min_read_position> newest_own_commit; ///< Position of the session's newest commit.
     session_values values;
     connection_number connection = 0; ///< in_transaction only.
-    std::string tenant;               ///< Tenant of the caller; empty in a deployment without tenants.
 
     friend auto operator<=>(const task_request_fields&, const task_request_fields&) = default;
 };
