Send changes of large values between daemons as differences

A watcher sent the whole configuration to each of its followers, and a follower that heard of a change from several peers asked each of them.

A request now names the large values that are held; the peer answers with the difference from one of them (src/delta, libzstd with the held value as prefix, checksum of the result), or compressed if it no longer has that value. A daemon has one request for a range in progress and turns to another peer when it is overdue or the peer is lost. A value that cannot be read is requested again compressed, then plain.

Ruled out: a text difference of our own (the library finds moved and inserted text in 2 ms for 1 MB); pushing without a request (two watchers would each send to a follower).

--- a/include/citronfall/store_changes.h
+++ b/include/citronfall/store_changes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronfall/immutable.h"
+#include "citronfall/item_delta.h"
 #include "citronfall/store_item.h"
 #include "citronfall/store_revision.h"
 
@@ -14,6 +15,7 @@
     store_revision at;      ///< The sender's highest revision of the range; all items are of its era.
     bool complete = false;  ///< The items are the whole content of the range.
     std::vector<store_item> items;
+    std::vector<item_delta> deltas; ///< Further items, with large values.
 
     friend auto operator<=>(const store_changes_fields&, const store_changes_fields&) = default;
 };
--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -50,12 +50,18 @@
 struct store_digest;
 struct store_digestBuilder;
 
+struct known_value;
+struct known_valueBuilder;
+
 struct store_request;
 struct store_requestBuilder;
 
 struct store_item;
 struct store_itemBuilder;
 
+struct item_delta;
+struct item_deltaBuilder;
+
 struct store_changes;
 struct store_changesBuilder;
 
@@ -1140,12 +1146,77 @@
       store_failure_age_ms);
 }
 
+struct known_value FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef known_valueBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_REVISION = 6
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct known_valueBuilder {
+  typedef known_value Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(known_value::VT_KEY, key);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(known_value::VT_REVISION, revision, 0);
+  }
+  explicit known_valueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<known_value> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<known_value>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<known_value> Createknown_value(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint64_t revision = 0) {
+  known_valueBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<known_value> Createknown_valueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint64_t revision = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return citronfall::wire::Createknown_value(
+      _fbb,
+      key__,
+      revision);
+}
+
 struct store_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef store_requestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_RANGE = 4,
     VT_AFTER = 6,
-    VT_ERA = 8
+    VT_ERA = 8,
+    VT_ACCEPTS_DELTAS = 10,
+    VT_KNOWN_VALUES = 12
   };
   uint8_t range() const {
     return GetField<uint8_t>(VT_RANGE, 0);
@@ -1156,11 +1227,21 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  bool accepts_deltas() const {
+    return GetField<uint8_t>(VT_ACCEPTS_DELTAS, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::known_value>> *known_values() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::known_value>> *>(VT_KNOWN_VALUES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RANGE, 1) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_DELTAS, 1) &&
+           VerifyOffset(verifier, VT_KNOWN_VALUES) &&
+           verifier.VerifyVector(known_values()) &&
+           verifier.VerifyVectorOfTables(known_values()) &&
            verifier.EndTable();
   }
 };
@@ -1178,6 +1259,12 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(store_request::VT_ERA, era, 0);
   }
+  void add_accepts_deltas(bool accepts_deltas) {
+    fbb_.AddElement<uint8_t>(store_request::VT_ACCEPTS_DELTAS, static_cast<uint8_t>(accepts_deltas), 0);
+  }
+  void add_known_values(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::known_value>>> known_values) {
+    fbb_.AddOffset(store_request::VT_KNOWN_VALUES, known_values);
+  }
   explicit store_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1193,14 +1280,35 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t range = 0,
     uint64_t after = 0,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    bool accepts_deltas = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::known_value>>> known_values = 0) {
   store_requestBuilder builder_(_fbb);
   builder_.add_era(era);
   builder_.add_after(after);
+  builder_.add_known_values(known_values);
+  builder_.add_accepts_deltas(accepts_deltas);
   builder_.add_range(range);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<store_request> Createstore_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t range = 0,
+    uint64_t after = 0,
+    uint64_t era = 0,
+    bool accepts_deltas = false,
+    const std::vector<flatbuffers::Offset<citronfall::wire::known_value>> *known_values = nullptr) {
+  auto known_values__ = known_values ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::known_value>>(*known_values) : 0;
+  return citronfall::wire::Createstore_request(
+      _fbb,
+      range,
+      after,
+      era,
+      accepts_deltas,
+      known_values__);
+}
+
 struct store_item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef store_itemBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1302,6 +1410,107 @@
       deleted);
 }
 
+struct item_delta FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef item_deltaBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_REVISION = 6,
+    VT_LEASE = 8,
+    VT_BASE_REVISION = 10,
+    VT_DELTA = 12
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t lease() const {
+    return GetField<uint64_t>(VT_LEASE, 0);
+  }
+  uint64_t base_revision() const {
+    return GetField<uint64_t>(VT_BASE_REVISION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *delta() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DELTA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_REVISION, 8) &&
+           VerifyOffset(verifier, VT_DELTA) &&
+           verifier.VerifyVector(delta()) &&
+           verifier.EndTable();
+  }
+};
+
+struct item_deltaBuilder {
+  typedef item_delta Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(item_delta::VT_KEY, key);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(item_delta::VT_REVISION, revision, 0);
+  }
+  void add_lease(uint64_t lease) {
+    fbb_.AddElement<uint64_t>(item_delta::VT_LEASE, lease, 0);
+  }
+  void add_base_revision(uint64_t base_revision) {
+    fbb_.AddElement<uint64_t>(item_delta::VT_BASE_REVISION, base_revision, 0);
+  }
+  void add_delta(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> delta) {
+    fbb_.AddOffset(item_delta::VT_DELTA, delta);
+  }
+  explicit item_deltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<item_delta> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<item_delta>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<item_delta> Createitem_delta(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint64_t revision = 0,
+    uint64_t lease = 0,
+    uint64_t base_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> delta = 0) {
+  item_deltaBuilder builder_(_fbb);
+  builder_.add_base_revision(base_revision);
+  builder_.add_lease(lease);
+  builder_.add_revision(revision);
+  builder_.add_delta(delta);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<item_delta> Createitem_deltaDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint64_t revision = 0,
+    uint64_t lease = 0,
+    uint64_t base_revision = 0,
+    const std::vector<uint8_t> *delta = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto delta__ = delta ? _fbb.CreateVector<uint8_t>(*delta) : 0;
+  return citronfall::wire::Createitem_delta(
+      _fbb,
+      key__,
+      revision,
+      lease,
+      base_revision,
+      delta__);
+}
+
 struct store_changes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef store_changesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1309,7 +1518,8 @@
     VT_ITEMS = 6,
     VT_REVISION = 8,
     VT_ERA = 10,
-    VT_COMPLETE = 12
+    VT_COMPLETE = 12,
+    VT_DELTAS = 14
   };
   uint8_t range() const {
     return GetField<uint8_t>(VT_RANGE, 0);
@@ -1326,6 +1536,9 @@
   bool complete() const {
     return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::item_delta>> *deltas() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::item_delta>> *>(VT_DELTAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RANGE, 1) &&
@@ -1335,6 +1548,9 @@
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_DELTAS) &&
+           verifier.VerifyVector(deltas()) &&
+           verifier.VerifyVectorOfTables(deltas()) &&
            verifier.EndTable();
   }
 };
@@ -1358,6 +1574,9 @@
   void add_complete(bool complete) {
     fbb_.AddElement<uint8_t>(store_changes::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
   }
+  void add_deltas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::item_delta>>> deltas) {
+    fbb_.AddOffset(store_changes::VT_DELTAS, deltas);
+  }
   explicit store_changesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1375,10 +1594,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::store_item>>> items = 0,
     uint64_t revision = 0,
     uint64_t era = 0,
-    bool complete = false) {
+    bool complete = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<citronfall::wire::item_delta>>> deltas = 0) {
   store_changesBuilder builder_(_fbb);
   builder_.add_era(era);
   builder_.add_revision(revision);
+  builder_.add_deltas(deltas);
   builder_.add_items(items);
   builder_.add_complete(complete);
   builder_.add_range(range);
@@ -1391,15 +1612,18 @@
     const std::vector<flatbuffers::Offset<citronfall::wire::store_item>> *items = nullptr,
     uint64_t revision = 0,
     uint64_t era = 0,
-    bool complete = false) {
+    bool complete = false,
+    const std::vector<flatbuffers::Offset<citronfall::wire::item_delta>> *deltas = nullptr) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::store_item>>(*items) : 0;
+  auto deltas__ = deltas ? _fbb.CreateVector<flatbuffers::Offset<citronfall::wire::item_delta>>(*deltas) : 0;
   return citronfall::wire::Createstore_changes(
       _fbb,
       range,
       items__,
       revision,
       era,
-      complete);
+      complete,
+      deltas__);
 }
 
 struct primary_notice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/mirror/mirror_gossip.h
+++ b/src/mirror/mirror_gossip.h
@@ -2,6 +2,7 @@
 
 #include "citronfall/instant.h"
 #include "citronfall/peer_message.h"
+#include "mirror/item_delta_cache.h"
 #include "mirror/store_mirror.h"
 
 #include <deque>
@@ -28,8 +29,10 @@
 ///
 /// Each second a daemon sends some of its peers a digest of its copies. A peer that is behind requests what it is
 /// missing: at once if it does not watch the store, otherwise once its own watch has had time to deliver the changes.
-/// The digests also tell how long ago a copy was last known to be up to date. Not thread-safe: owned by the decision
-/// thread.
+/// It has one request for a range in progress; only when that is overdue does it turn to another peer. A large value
+/// is sent as the difference from the one that the request says is held, and otherwise compressed
+/// (docs/design/growing-configuration.md). The digests also tell how long ago a copy was last known to be up to date.
+/// Not thread-safe: owned by the decision thread.
 class mirror_gossip {
 public:
     explicit mirror_gossip(mirror_gossip_options options) : options_(std::move(options)) {}
@@ -44,7 +47,7 @@
     void connected(const std::string& peer, instant now);
 
     /// Reports that the connection to a peer was lost.
-    void disconnected(const std::string& peer) { peers_.erase(peer); }
+    void disconnected(const std::string& peer);
 
     void handle(const std::string& peer, const store_digest& digest, instant now);
     void handle(const std::string& peer, const store_request& request);
@@ -70,24 +73,52 @@
         std::vector<store_revision> complete_to; ///< By range.
     };
 
-    /// A revision of a range that a peer has and this daemon lacks.
-    struct missed_change {
+    /// A peer's copy of a range that has changes which this daemon lacks.
+    struct offer {
+        std::string peer;
         store_revision revision;
+    };
+
+    /// How large values may be sent. Each form is tried when a value in the one before could not be read.
+    enum class value_form : std::uint8_t { differences, compressed, plain };
+
+    /// A request for the changes of a range that has not been answered.
+    struct pending_request {
+        std::string peer;
+        instant due{}; ///< Overdue from then on.
+    };
+
+    /// Changes of a range that peers have and this daemon lacks.
+    struct missed_change {
         instant since{};
+        std::vector<offer> offers; ///< The oldest first; at least one.
+        bool up_to_date = false;   ///< One of them was known to be up to date.
+        std::optional<pending_request> request;
+        unsigned requests = 0; ///< Sent so far.
+        value_form form = value_form::differences;
     };
 
     [[nodiscard]] store_digest digest(instant now) const;
     [[nodiscard]] bool live() const;
-    void compare(const std::string& peer, std::size_t range, const range_digest& offered, instant now);
+    void compare(const std::string& peer, std::size_t range, const range_digest& offered, bool up_to_date, instant now);
     void note_current_copy(const store_digest& digest, instant now);
     void confirm_copies();
-    void note_missed(const std::string& peer, std::size_t range, const store_revision& offered, instant now);
+    void note_missed(const std::string& peer, std::size_t range, const store_revision& offered, bool up_to_date,
+                     instant now);
+    void drop_settled_offers(std::size_t range);
+    void request_missed(std::size_t range, instant now);
+    void send_request(const offer& from, std::size_t range, instant now);
+    void note_unreadable_value(const std::string& peer, std::size_t range, const error& problem, instant now);
+    [[nodiscard]] result<store_changes> with_values(const store_changes& changes) const;
+    [[nodiscard]] result<store_item> value_of_delta(std::size_t range, const store_era& era,
+                                                    const item_delta& delta) const;
 
     mirror_gossip_options options_;
     std::set<std::string> peers_;
     std::map<std::size_t, missed_change> missed_; ///< By range.
-    std::deque<current_copy> current_copies_;     ///< Of peers, newest last, that this daemon has not caught up with.
-    std::optional<instant> confirmed_at_;         ///< Latest time for which a peer confirmed the copies.
+    item_delta_cache deltas_;
+    std::deque<current_copy> current_copies_; ///< Of peers, newest last, that this daemon has not caught up with.
+    std::optional<instant> confirmed_at_;     ///< Latest time for which a peer confirmed the copies.
     store_era peer_era_ = 0;
     std::optional<instant> peer_failed_at_; ///< Latest failure of the store that a peer reported.
     instant next_digest_{};
--- a/src/mirror/mirror_table.cc
+++ b/src/mirror/mirror_table.cc
@@ -11,6 +11,10 @@
 /// Number of deletions kept for peers that were disconnected; a peer that missed more gets all items.
 constexpr std::size_t max_deletions = 256;
 
+/// Limit on the replaced large values that are kept, besides the last one. Peers are seldom more than a few changes
+/// behind.
+constexpr std::size_t max_kept_bytes = 2 * 1024 * 1024;
+
 /// Digest of one item. It must be the same on all daemons.
 std::uint64_t digest_of(const store_item& item)
 {
@@ -68,6 +72,9 @@
 
 void mirror_table::store(const store_item& item)
 {
+    if (const auto held = items_.find(item->key); held != items_.end()) {
+        remember_value(held->second);
+    }
     erase(item->key);
     items_.emplace(item->key, item);
     contents_ ^= digest_of(item);
@@ -90,6 +97,30 @@
     }
 }
 
+void mirror_table::remember_value(const store_item& item)
+{
+    if (item->value.size() < large_value_bytes) {
+        return;
+    }
+    former_values_.push_back(item);
+    former_bytes_ += item->value.size();
+    while (former_values_.size() > 1 && former_bytes_ > max_kept_bytes) {
+        former_bytes_ -= former_values_.front()->value.size();
+        former_values_.pop_front();
+    }
+}
+
+const std::string* mirror_table::value_at(const std::string& key, kv_revision revision) const
+{
+    if (const auto held = items_.find(key); held != items_.end() && held->second->revision == revision) {
+        return &held->second->value;
+    }
+    const auto former = std::find_if(former_values_.begin(), former_values_.end(), [&](const store_item& each) {
+        return each->key == key && each->revision == revision;
+    });
+    return former == former_values_.end() ? nullptr : &(*former)->value;
+}
+
 void mirror_table::apply_snapshot(const std::vector<store_item>& items, const store_revision& at)
 {
     if (at.era < era()) {
@@ -125,6 +156,8 @@
 {
     const std::map<std::string, store_item> former = std::exchange(items_, {});
     deletions_.clear();
+    former_values_.clear();
+    former_bytes_ = 0;
     deletions_dropped_until_ = 0;
     contents_ = 0;
     changed_at_ = {.era = at.era, .revision = 0};
--- a/src/mirror/mirror_table.h
+++ b/src/mirror/mirror_table.h
@@ -14,6 +14,10 @@
 
 namespace citronfall {
 
+/// Values of at least this size are large: they travel between daemons as differences, for which a table keeps some
+/// that were replaced.
+inline constexpr std::size_t large_value_bytes = 4096;
+
 /// Copy of the items under one prefix of the store, all of one era. Within the era an item is only ever replaced by a
 /// higher revision, in whatever order changes arrive from the store and from peers; a later era replaces all items.
 ///
@@ -56,6 +60,10 @@
     /// Digest of the items and their revisions. Equal copies have equal digests.
     [[nodiscard]] std::uint64_t contents() const { return contents_; }
 
+    /// Value of an item at a revision of the table's era; null if it is neither the current one nor among the last
+    /// large ones.
+    [[nodiscard]] const std::string* value_at(const std::string& key, kv_revision revision) const;
+
     /// All changes after `known`, deletions included. All items if `known` is of another era or if some deletions since
     /// then are no longer stored.
     [[nodiscard]] std::vector<store_item> changes_after(const store_revision& known) const;
@@ -71,11 +79,14 @@
     void store(const store_item& item);
     void erase(const std::string& key);
     void remember_deletion(const store_item& item);
+    void remember_value(const store_item& item);
     void replace_all(const std::vector<store_item>& items, const store_revision& at);
 
     changed_hook changed_;
     std::map<std::string, store_item> items_;
-    std::deque<store_item> deletions_; ///< Newest last.
+    std::deque<store_item> deletions_;     ///< Newest last.
+    std::deque<store_item> former_values_; ///< Replaced large items, newest last.
+    std::size_t former_bytes_ = 0;         ///< Of the values of former_values_.
     store_revision changed_at_;
     store_revision complete_to_;
     std::uint64_t contents_ = 0;
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -49,6 +49,11 @@
     return age == no_age ? std::nullopt : std::optional<duration>(std::chrono::milliseconds(age));
 }
 
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> create_bytes(builder& out, const std::string& bytes)
+{
+    return out.CreateVector(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+}
+
 encoded_body encode_body(builder& out, const peer_hello& value)
 {
     return {wire::body::hello,
@@ -136,21 +141,30 @@
 
 encoded_body encode_body(builder& out, const store_request& value)
 {
+    std::vector<flatbuffers::Offset<wire::known_value>> known_values;
+    for (const known_value& each : value->known_values) {
+        known_values.push_back(wire::Createknown_valueDirect(out, each->key.c_str(), each->revision));
+    }
     return {wire::body::store_request,
-            wire::Createstore_request(out, value->range, value->after.revision, value->after.era).Union()};
+            wire::Createstore_requestDirect(out, value->range, value->after.revision, value->after.era,
+                                            value->accepts_deltas, &known_values)
+                .Union()};
 }
 
 encoded_body encode_body(builder& out, const store_changes& value)
 {
     std::vector<flatbuffers::Offset<wire::store_item>> items;
     for (const store_item& each : value->items) {
-        const auto bytes =
-            out.CreateVector(reinterpret_cast<const std::uint8_t*>(each->value.data()), each->value.size());
-        items.push_back(wire::Createstore_item(out, out.CreateString(each->key), bytes, each->revision, each->lease,
-                                               each->deleted));
+        items.push_back(wire::Createstore_item(out, out.CreateString(each->key), create_bytes(out, each->value),
+                                               each->revision, each->lease, each->deleted));
+    }
+    std::vector<flatbuffers::Offset<wire::item_delta>> deltas;
+    for (const item_delta& each : value->deltas) {
+        deltas.push_back(wire::Createitem_delta(out, out.CreateString(each->key), each->revision, each->lease,
+                                                each->base_revision, create_bytes(out, each->delta)));
     }
     return {wire::body::store_changes, wire::Createstore_changesDirect(out, value->range, &items, value->at.revision,
-                                                                       value->at.era, value->complete)
+                                                                       value->at.era, value->complete, &deltas)
                                            .Union()};
 }
 
@@ -262,6 +276,23 @@
     return store_digest{std::move(fields)};
 }
 
+std::string bytes_of(const flatbuffers::Vector<std::uint8_t>* source)
+{
+    return source == nullptr ? std::string{} : std::string(source->begin(), source->end());
+}
+
+peer_message read_store_request(const wire::store_request& source)
+{
+    store_request_fields fields{.range = source.range(),
+                                .after = {.era = source.era(), .revision = source.after()},
+                                .accepts_deltas = source.accepts_deltas()};
+    for (flatbuffers::uoffset_t i = 0; source.known_values() != nullptr && i < source.known_values()->size(); ++i) {
+        const auto* each = source.known_values()->Get(i);
+        fields.known_values.push_back(known_value{{.key = text(each->key()), .revision = each->revision()}});
+    }
+    return store_request{std::move(fields)};
+}
+
 peer_message read_store_changes(const wire::store_changes& source)
 {
     store_changes_fields fields{.range = source.range(),
@@ -271,11 +302,17 @@
         const auto* each = source.items()->Get(i);
         store_item_fields item{
             .key = text(each->key()), .revision = each->revision(), .lease = each->lease(), .deleted = each->deleted()};
-        if (each->value() != nullptr) {
-            item.value.assign(each->value()->begin(), each->value()->end());
-        }
+        item.value = bytes_of(each->value());
         fields.items.push_back(store_item{std::move(item)});
     }
+    for (flatbuffers::uoffset_t i = 0; source.deltas() != nullptr && i < source.deltas()->size(); ++i) {
+        const auto* each = source.deltas()->Get(i);
+        fields.deltas.push_back(item_delta{{.key = text(each->key()),
+                                            .revision = each->revision(),
+                                            .lease = each->lease(),
+                                            .base_revision = each->base_revision(),
+                                            .delta = bytes_of(each->delta())}});
+    }
     return store_changes{std::move(fields)};
 }
 
@@ -327,11 +364,8 @@
     }
     case wire::body::store_digest:
         return read_store_digest(*source.body_as_store_digest());
-    case wire::body::store_request: {
-        const auto* request = source.body_as_store_request();
-        return store_request{
-            {.range = request->range(), .after = {.era = request->era(), .revision = request->after()}}};
-    }
+    case wire::body::store_request:
+        return read_store_request(*source.body_as_store_request());
     case wire::body::store_changes:
         return read_store_changes(*source.body_as_store_changes());
     case wire::body::primary_notice: {
