Take the newest configuration on a start, and watch the store from wide links

A daemon that starts put the first copy in force that it got: a stale read of the store, or the copy of a peer that cannot reach the store, although another peer had a newer one. A key that was withdrawn would be valid again for that time.

Watchers are of the half of a data centre's daemons with more capacity: the store's answer is whole, 1.3 MB for a configuration of 967,524 bytes, which takes 5.5 s on a link of 2 Mbit/s.

--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -107,8 +107,12 @@
 {
     const gateway_settings& settings = options_.settings;
     auto replica = store_replica::make(
-        {.self = watcher_candidate{{.name = settings->name, .data_center = settings->data_center}},
-         .ranges = {{.prefix = options_.configuration_prefix, .batch_delay = configuration_batch_delay},
+        {.self = watcher_candidate{{.name = settings->name,
+                                    .data_center = settings->data_center,
+                                    .capacity = daemon_capacity(settings->processor_cores, settings->link_mbps)}},
+         .ranges = {{.prefix = options_.configuration_prefix,
+                     .batch_delay = configuration_batch_delay,
+                     .starts_stale = false},
                     {.prefix = options_.service_directory.keys.members, .batch_delay = entry_batch_delay},
                     {.prefix = options_.own_prefix, .batch_delay = entry_batch_delay, .has_daemons = true}},
          .first_start = settings->first_start,
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -49,7 +49,8 @@
         if (listed.insert(name).second) {
             others.push_back(
                 relay_candidate{{.name = name, .data_center = entry->data_center, .capacity = entry->capacity}});
-            watcher_candidates.push_back(watcher_candidate{{.name = name, .data_center = entry->data_center}});
+            watcher_candidates.push_back(
+                watcher_candidate{{.name = name, .data_center = entry->data_center, .capacity = entry->capacity}});
         }
     }
     replica_->set_daemons(std::move(watcher_candidates));
--- a/src/mirror/store_mirror.cc
+++ b/src/mirror/store_mirror.cc
@@ -37,7 +37,8 @@
 
 store_mirror::store_mirror(store_mirror_options options)
     : options_(std::move(options)), read_timeout_(initial_read_timeout), backoff_(initial_backoff, max_backoff),
-      table_([this](const store_item& item, store_era era) { options_.changed(item, era); })
+      table_([this](const store_item& item, store_era era) { options_.changed(item, era); }),
+      reads_stale_(options_.starts_stale)
 {
 }
 
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -24,6 +24,7 @@
     std::string prefix;
     duration watch_wait{};         ///< Long-poll time of a watch.
     duration batch_delay{};        ///< Delay before the next watch, to batch changes into one answer.
+    bool starts_stale = true;      ///< The first read may be stale: a watch or a peer tells what it missed.
     std::function<bool()> watches; ///< Whether this daemon watches the store, rather than follow peers that do.
     std::function<call_number(call_body, duration timeout)> call;
     mirror_table::changed_hook changed;
@@ -34,8 +35,7 @@
 /// it (chart `store_mirror`).
 ///
 /// If the store has compacted the revisions to watch from, or was restored from a copy, a daemon that watches reads the
-/// whole prefix again; one that follows gets it from a peer. The first read may be stale: a watch or a peer tells what
-/// it missed. Not thread-safe: owned by the decision thread.
+/// whole prefix again; one that follows gets it from a peer. Not thread-safe: owned by the decision thread.
 class store_mirror {
 public:
     /// Error (bad_request): the chart does not match the bindings.
@@ -110,7 +110,7 @@
     std::vector<store_item> page_items_;
     store_revision snapshot_at_;  ///< Revision up to which the pages are complete.
     store_revision watched_from_; ///< The watch in flight, or the last one, started after it.
-    bool reads_stale_ = true;     ///< The next read may be stale.
+    bool reads_stale_;            ///< The next read may be stale.
     bool live_ = false;
     std::optional<instant> failed_at_;
 };
--- a/src/mirror/store_replica.cc
+++ b/src/mirror/store_replica.cc
@@ -52,6 +52,7 @@
         auto mirror = store_mirror::make({.prefix = range.prefix,
                                           .watch_wait = watch_wait,
                                           .batch_delay = range.batch_delay,
+                                          .starts_stale = range.starts_stale,
                                           .watches = [this, &range] { return watches(range); },
                                           .call = options_.call,
                                           .changed = options_.changed,
--- a/src/mirror/store_replica.h
+++ b/src/mirror/store_replica.h
@@ -21,6 +21,7 @@
 struct replicated_range {
     std::string prefix;
     duration batch_delay{};   ///< Between two watches, to batch changes into one answer.
+    bool starts_stale = true; ///< The first read may be seconds old, at a lower cost.
     bool has_daemons = false; ///< It holds the registrations of the daemons.
 };
 
--- a/src/mirror/watcher_choice.cc
+++ b/src/mirror/watcher_choice.cc
@@ -43,6 +43,22 @@
     }
 }
 
+/// The daemons whose capacity is not below the median.
+std::vector<std::string> names_of_upper_half(std::vector<watcher_candidate> daemons)
+{
+    const auto middle = daemons.begin() + static_cast<std::ptrdiff_t>(daemons.size() / 2);
+    std::nth_element(daemons.begin(), middle, daemons.end(),
+                     [](const auto& a, const auto& b) { return a->capacity < b->capacity; });
+    const double median = (*middle)->capacity;
+    std::vector<std::string> names;
+    for (const watcher_candidate& each : daemons) {
+        if (each->capacity >= median) {
+            names.push_back(each->name);
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 std::set<std::string> choose_watchers(const std::vector<watcher_candidate>& daemons)
@@ -50,15 +66,16 @@
     if (daemons.size() <= max_all_watch) {
         return {};
     }
-    std::map<std::string, std::vector<std::string>> by_data_center;
+    std::map<std::string, std::vector<watcher_candidate>> by_data_center;
     for (const watcher_candidate& each : daemons) {
-        by_data_center[each->data_center].push_back(each->name);
+        by_data_center[each->data_center].push_back(each);
     }
     const std::size_t least = (min_watchers + by_data_center.size() - 1) / by_data_center.size();
     std::set<std::string> watchers;
-    for (const auto& [data_center, names] : by_data_center) {
+    for (const auto& [data_center, members] : by_data_center) {
         std::set<std::string> chosen;
-        add_lowest(chosen, rank_key, names, std::max(least, names.size() / daemons_per_watcher));
+        add_lowest(chosen, rank_key, names_of_upper_half(members),
+                   std::max(least, members.size() / daemons_per_watcher));
         watchers.merge(chosen);
     }
     return watchers;
--- a/src/mirror/watcher_choice.h
+++ b/src/mirror/watcher_choice.h
@@ -12,6 +12,7 @@
 struct watcher_candidate_fields {
     std::string name;
     std::string data_center;
+    double capacity = 0; ///< Relative to others, see daemon_capacity().
 
     friend auto operator<=>(const watcher_candidate_fields&, const watcher_candidate_fields&) = default;
 };
@@ -20,8 +21,9 @@
 using watcher_candidate = immutable<watcher_candidate_fields>;
 
 /// The daemons that watch the store and tell the others of its changes: a few in each data centre, more where it has
-/// many daemons. Empty if there are so few daemons that all watch. All daemons choose the same ones, and the loss of
-/// one changes little. Thread-safe.
+/// many daemons. They are of the half with more capacity, because the store sends a large configuration whole to each
+/// of them. Empty if there are so few daemons that all watch. All daemons choose the same ones, and the loss of one
+/// changes little. Thread-safe.
 [[nodiscard]] std::set<std::string> choose_watchers(const std::vector<watcher_candidate>& daemons);
 
 /// The watchers to which the daemon `self` stays connected: some others, if it is one itself; else two, of its own data
--- a/tests/support/replica_fleet.cc
+++ b/tests/support/replica_fleet.cc
@@ -14,6 +14,8 @@
 constexpr const char* document_key = "op/config";
 constexpr duration link_delay = 2ms;
 constexpr duration tick_interval = 50ms;
+/// Time until a daemon that starts has read the registrations of the others.
+constexpr duration registration_time = 500ms;
 constexpr double store_link_mbps = 1000;
 
 /// Bytes of an answer of the store besides its values.
@@ -73,7 +75,7 @@
     bool refused = false;
     bool frozen = false;
     bool isolated = false;
-    bool corrupts = false;
+    bool damages = false;
 };
 
 replica_fleet::replica_fleet(const options& chosen)
@@ -86,7 +88,7 @@
     for (std::size_t i = 0; i < options_.daemons; ++i) {
         auto daemon = std::make_unique<simulated_daemon>();
         daemon->name = "d" + std::to_string(i);
-        daemon->link_mbps = options_.link_mbps;
+        daemon->link_mbps = i % 2 == 0 ? options_.link_mbps : options_.narrow_link_mbps;
         for (std::size_t n = 0; n < options_.neighbours; ++n) {
             daemon->neighbours.insert(random_() % options_.daemons);
         }
@@ -108,13 +110,9 @@
     simulated_daemon& daemon = *daemons_[index];
     const std::uint64_t run = ++daemon.run;
     daemon.documents.clear();
-    const auto candidate = [this](std::size_t i) {
-        return watcher_candidate{
-            {.name = "d" + std::to_string(i), .data_center = "dc" + std::to_string(i % options_.data_centers)}};
-    };
     auto made = store_replica::make(
         {.self = candidate(index),
-         .ranges = {{.prefix = "op/", .batch_delay = 20ms}},
+         .ranges = {{.prefix = "op/", .batch_delay = 20ms, .starts_stale = false}},
          .call =
              [this, index](call_body body, duration) {
                  const call_number number = ++daemons_[index]->last_call;
@@ -148,10 +146,26 @@
     time_.after(duration(static_cast<duration::rep>(random_() % 50'000)), [this, index, run] { tick(index, run); });
 }
 
+/// Pairs of daemons share a data centre, so that each has daemons of both kinds of link.
+watcher_candidate replica_fleet::candidate(std::size_t index) const
+{
+    const double mbps = index % 2 == 0 ? options_.link_mbps : options_.narrow_link_mbps;
+    return watcher_candidate{{.name = "d" + std::to_string(index),
+                              .data_center = "dc" + std::to_string(index / 2 % options_.data_centers),
+                              .capacity = mbps / 100}};
+}
+
 void replica_fleet::connect(std::size_t a, std::size_t b)
 {
-    if (a == b || daemons_[a]->replica == nullptr || daemons_[b]->replica == nullptr || daemons_[a]->isolated ||
-        daemons_[b]->isolated || !daemons_[a]->peers.insert(b).second) {
+    if (!daemons_[a]->isolated && !daemons_[b]->isolated) {
+        connect_isolated(a, b);
+    }
+}
+
+void replica_fleet::connect_isolated(std::size_t a, std::size_t b)
+{
+    if (a == b || daemons_[a]->replica == nullptr || daemons_[b]->replica == nullptr ||
+        !daemons_[a]->peers.insert(b).second) {
         return;
     }
     daemons_[b]->peers.insert(a);
@@ -297,7 +311,16 @@
     } else if (const auto* request = std::get_if<store_request>(&value_of(decoded))) {
         daemon.replica->handle(from, *request);
     } else if (const auto* changes = std::get_if<store_changes>(&value_of(decoded))) {
-        daemon.replica->handle(from, *changes, now());
+        if (!(*changes)->deltas.empty() && std::exchange(daemon.damages, false)) {
+            const auto damaged = with(*changes, [](store_changes_fields& fields) {
+                fields.deltas.front() = with(fields.deltas.front(), [](item_delta_fields& each) {
+                    each.delta[each.delta.size() / 2] = static_cast<char>(~each.delta[each.delta.size() / 2]);
+                });
+            });
+            daemon.replica->handle(from, damaged, now());
+        } else {
+            daemon.replica->handle(from, *changes, now());
+        }
     }
 }
 
@@ -351,7 +374,11 @@
 {
     kill(daemon);
     start(daemon);
-    connect_all(daemon);
+    time_.after(registration_time, [this, daemon, run = daemons_[daemon]->run] {
+        if (daemons_[daemon]->run == run) {
+            connect_all(daemon);
+        }
+    });
 }
 
 void replica_fleet::freeze(std::size_t daemon, bool frozen)
@@ -365,6 +392,11 @@
     isolated ? disconnect_all(daemon) : connect_all(daemon);
 }
 
+void replica_fleet::damage_next_value(std::size_t daemon)
+{
+    daemons_[daemon]->damages = true;
+}
+
 void replica_fleet::serve_stale(const std::string& document)
 {
     stale_ = document;
--- a/tests/support/replica_fleet.h
+++ b/tests/support/replica_fleet.h
@@ -30,7 +30,8 @@
         std::size_t daemons = 83;
         std::size_t data_centers = 4;
         double link_mbps = 10;
-        std::size_t neighbours = 4; ///< Random connections of a daemon besides those to the watchers that it follows.
+        double narrow_link_mbps = 10; ///< Of every other daemon.
+        std::size_t neighbours = 4;   ///< Random connections of a daemon besides those to the watchers that it follows.
         std::uint64_t seed = 1;
     };
 
@@ -61,10 +62,11 @@
     void refuse_store(std::size_t daemon, bool refused); ///< The store refuses its calls.
     void set_link(std::size_t daemon, double mbps);      ///< Rate of its link from now on.
     void kill(std::size_t daemon);                       ///< Its process ends; its peers notice at once.
-    void restart(std::size_t daemon);                    ///< A new process without a copy takes its place.
+    void restart(std::size_t daemon); ///< A new process without a copy; it knows its peers after half a second.
     void freeze(std::size_t daemon, bool frozen);        ///< It neither acts nor receives; nobody notices.
     void isolate(std::size_t daemon, bool isolated);     ///< It loses its connections to all peers.
-    void corrupt_next_values(std::size_t daemon);        ///< The next delta that it receives is damaged.
+    void connect_isolated(std::size_t a, std::size_t b); ///< Connects two daemons, also if they are isolated.
+    void damage_next_value(std::size_t daemon);          ///< The next delta that it receives is damaged.
     void serve_stale(const std::string& document);       ///< Stale reads give this document.
     [[nodiscard]] standin::store_copy save_store() { return store_.copy(now()); }
     void restore_store(const standin::store_copy& copy) { store_.restore(copy, now()); }
@@ -87,6 +89,7 @@
     void start(std::size_t index);
     void connect(std::size_t a, std::size_t b);
     void connect_all(std::size_t index);
+    [[nodiscard]] watcher_candidate candidate(std::size_t index) const;
     void disconnect_all(std::size_t index);
     void tick(std::size_t index, std::uint64_t run);
     void call(std::size_t index, call_number number, const call_body& body);
