Let a large answer of the store take longer than the timeout of the call

A configuration of 1 MB takes 1.1 s over 10 Mbit/s and 5.5 s over 2 Mbit/s, so a daemon that started on a narrow link read it several times over or never.

--- a/tests/store_wire_test.cc
+++ b/tests/store_wire_test.cc
@@ -13,7 +13,10 @@
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
 using namespace citronfall;
 using namespace std::chrono_literals;
@@ -97,6 +100,68 @@
     call_number last_call_ = 0;
 };
 
+/// A store that answers one call in pieces.
+class slow_store {
+public:
+    /// Sends an empty page in `pieces` parts, `gap` apart, and then keeps the connection open without a word.
+    slow_store(std::size_t pieces, duration gap, bool complete)
+    {
+        const std::string body = R"({"items":[],"StoreRevision":7})" + std::string(pieces, ' ');
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        thread_ = std::thread([this, pieces, gap, complete, answer = head + body] {
+            auto socket = acceptor_.accept();
+            std::string request;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+            const std::size_t size = answer.size() / pieces;
+            boost::system::error_code ignored;
+            for (std::size_t i = 0; i < pieces - (complete ? 0 : 1); ++i) {
+                const std::string piece = answer.substr(i * size, i + 1 == pieces ? std::string::npos : size);
+                boost::asio::write(socket, boost::asio::buffer(piece), ignored);
+                std::this_thread::sleep_for(gap);
+            }
+            ended_.get_future().wait();
+        });
+    }
+
+    ~slow_store()
+    {
+        ended_.set_value();
+        thread_.join();
+    }
+
+    slow_store(const slow_store&) = delete;
+    slow_store& operator=(const slow_store&) = delete;
+    slow_store(slow_store&&) = delete;
+    slow_store& operator=(slow_store&&) = delete;
+
+    /// Outcome of one read with a timeout of one second.
+    call_outcome read()
+    {
+        bounded_ring<store_answer> answers{{.capacity = 4}};
+        auto client = platform::store_client::make(
+            {.store_address = "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()),
+             .promotion_address = {},
+             .notify = [&answers](const store_answer& answer) {
+                 static_cast<void>(answers.push(answer));
+             }});
+        REQUIRE(ok(client));
+        std::thread runner([&] { value_of(client)->run(); });
+        CHECK(value_of(client)->calls().push(
+            store_call{{.number = 1, .timeout = 1s, .body = read_range{{.prefix = configuration_prefix}}}}));
+        const auto answer = answers.pop_for(20s);
+        value_of(client)->stop();
+        runner.join();
+        REQUIRE(answer);
+        return (*answer)->outcome;
+    }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_{context_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::promise<void> ended_;
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_CASE("a restored store over sockets cuts watches and answers in the next era", "[wire]")
@@ -135,3 +200,17 @@
     CHECK(refused->outcome == call_outcome::refused);
     CHECK(refused->era == 2);
 }
+
+TEST_CASE("a large answer of the store over a narrow link may take longer than the timeout of the call", "[wire]")
+{
+    // A configuration of 1 MB takes seconds over 2 Mbit/s. With a timeout for the whole answer, a daemon that starts
+    // there never read it.
+    slow_store store(12, 150ms, true);
+    CHECK(store.read() == call_outcome::done);
+}
+
+TEST_CASE("an answer of the store that stops half-way counts as lost", "[wire]")
+{
+    slow_store store(3, 10ms, false);
+    CHECK(store.read() == call_outcome::unanswered);
+}
