--- a/src/cmd/citronfallctl.cc
+++ b/src/cmd/citronfallctl.cc
@@ -1,6 +1,7 @@
 #include "ctl/command_table.h"
 #include "http/http_client.h"
 #include "kv_service/http_platform.h"
+#include "platform/configuration_document_reader.h"
 
 #include <chrono>
 #include <cstdlib>
@@ -49,6 +50,7 @@
     text kind("", "kind", "read or write", false, "read", "kind", parser);
     text id("", "id", "request id of a write", false, "", "id", parser);
     text session("", "session", "session token", false, "", "token", parser);
+    text against("", "against", "what check-config compares with", false, "", "file or in-force", parser);
     TCLAP::ValueArg<std::int64_t> minutes("", "for-minutes", "length of an override; 0: until cleared", false, 0,
                                           "minutes", parser);
     TCLAP::SwitchArg json("", "json", "output for scripts", parser);
@@ -75,7 +77,8 @@
             .group = group.getValue(),
             .kind = kind.getValue(),
             .id = id.getValue(),
-            .session = session.getValue()};
+            .session = session.getValue(),
+            .against = against.getValue()};
 }
 
 std::optional<std::string> read_file(const std::string& name)
@@ -130,6 +133,7 @@
         .wall_ms = wall_ms,
         .nonce = make_nonce,
         .pause = [](duration length) { std::this_thread::sleep_for(length); },
+        .read_configuration = [](const std::string& text) { return platform::read_configuration_document(text); },
         .out = std::cout,
         .err = std::cerr};
     return static_cast<int>(run_command(context, arguments));
--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -1,5 +1,6 @@
 #include "ctl/command_table.h"
 
+#include "ctl/check_config_command.h"
 #include "ctl/daemon_commands.h"
 #include "ctl/document_commands.h"
 #include "ctl/gateway_commands.h"
@@ -18,11 +19,15 @@
     std::string_view help;
 };
 
-constexpr std::array<command_row, 12> commands{
+constexpr std::array<command_row, 13> commands{
     {{"gateway", run_gateway_command,
       "gateway                          leaders, members and configuration of a daemon on the users' platform"},
      {"explain", run_explain_command,
       "explain ID FILE...               what the logs of daemons say about one request"},
+     {"check-config", run_check_config_command,
+      "check-config FILE                findings of a configuration before it is sent, with --against FILE|in-force "
+      "also\n"
+      "                                   what differs; exit codes: 0 clean, 1 warnings, 2 errors, 3 not checked"},
      {"status", run_operator_command,
       "status                           sections: state, revision, rollout, differences"},
      {"document", run_document_command,
@@ -63,6 +68,7 @@
     return text + R"(
 Examples:
   citronfallctl --daemon 10.1.0.5:8785 gateway
+  citronfallctl --daemon 10.1.0.5:8785 --against in-force check-config config.json
   citronfallctl explain 4d8cbf4b6c3413b7 frontend-1.log frontend-2.log
   citronfallctl --daemon 10.1.0.5:8080 status
   citronfallctl --platform 10.1.0.2:7000 document show > document.json
--- a/src/ctl/tool_context.h
+++ b/src/ctl/tool_context.h
@@ -3,6 +3,7 @@
 #include "citronfall/instant.h"
 #include "citronfall/platform_hooks.h"
 #include "citronfall/result.h"
+#include "config_check/configuration_document.h"
 #include "http/http_reply.h"
 #include "http/http_request.h"
 
@@ -40,6 +41,7 @@
     std::string kind;
     std::string id;
     std::string session;
+    std::string against; ///< File, or "in-force": what check-config compares with; empty: nothing.
 };
 
 /// Environment of the operators' tool; tests replace it.
@@ -50,6 +52,7 @@
     std::function<std::int64_t()> wall_ms; ///< Unix time in ms.
     std::function<std::string()> nonce;    ///< A new unique text.
     std::function<void(duration)> pause;
+    std::function<configuration_document(const std::string&)> read_configuration; ///< In the operators' format.
     std::ostream& out;
     std::ostream& err;
 };
