Serve the configuration in force to check-config

The configuration is shared, so publishing a change copies nothing, and service_directory no longer copies it either.

--- a/src/config_check/configuration_summary.cc
+++ b/src/config_check/configuration_summary.cc
@@ -10,7 +10,7 @@
 /// Digits of a fingerprint: few enough that many other keys have the same one.
 constexpr std::size_t fingerprint_digits = 8;
 
-tenant_summary summarize(const tenant_policy& tenant)
+tenant_summary without_keys(const tenant_policy& tenant)
 {
     tenant_summary_fields fields{.name = tenant->name, .rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
     for (const std::string& each : tenant->keys) {
@@ -34,6 +34,14 @@
     return text;
 }
 
+configuration_summary summarize(const service_configuration& configuration)
+{
+    return configuration_summary{{.version = configuration->version,
+                                  .routes = configuration->routes,
+                                  .services = configuration->services,
+                                  .idle_transaction_limit = configuration->idle_transaction_limit}};
+}
+
 configuration_summary summarize(const configuration_document& document)
 {
     configuration_summary_fields fields{.version = document->version,
@@ -45,7 +53,7 @@
         fields.services.emplace(each->value->name, each->value);
     }
     for (const auto& each : document->tenants) {
-        fields.tenants.emplace(each->value->name, summarize(each->value));
+        fields.tenants.emplace(each->value->name, without_keys(each->value));
     }
     return configuration_summary{std::move(fields)};
 }
--- a/src/config_check/configuration_summary.h
+++ b/src/config_check/configuration_summary.h
@@ -3,6 +3,7 @@
 #include "citronfall/immutable.h"
 #include "config_check/configuration_document.h"
 #include "deployment/route.h"
+#include "deployment/service_configuration.h"
 #include "deployment/service_policy.h"
 
 #include <cstdint>
@@ -40,6 +41,9 @@
 /// Short digest of a key: equal for equal keys, and of no use to find the key. Thread-safe.
 [[nodiscard]] std::string key_fingerprint(const std::string& key);
 
+/// The configuration in force, without keys. Thread-safe.
+[[nodiscard]] configuration_summary summarize(const service_configuration& configuration);
+
 /// What a document would put in force; of entries with one name, the first. Thread-safe.
 [[nodiscard]] configuration_summary summarize(const configuration_document& document);
 
--- a/src/directory/service_directory.cc
+++ b/src/directory/service_directory.cc
@@ -44,9 +44,9 @@
                  "version=" + std::to_string(newer->version) +
                      " before=" + std::to_string(configuration_ ? (*configuration_)->version : 0) +
                      " routes=" + std::to_string(newer->routes.size()) + " revision=" + std::to_string(item->revision));
-    configuration_ = newer;
+    configuration_ = std::make_shared<const service_configuration>(take(std::move(read)));
     used_services_.clear();
-    for (const auto& [database, each] : newer->routes) {
+    for (const auto& [database, each] : (*configuration_)->routes) {
         used_services_.insert(each->service);
     }
 }
--- a/src/directory/service_directory.h
+++ b/src/directory/service_directory.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -62,8 +63,8 @@
     /// When expire() has to be called next; nothing if no deleted member is left.
     [[nodiscard]] std::optional<instant> next_expiry() const;
 
-    /// The configuration in force; empty before the first.
-    [[nodiscard]] const std::optional<service_configuration>& configuration() const { return configuration_; }
+    /// The configuration in force; null before the first. It never changes, so other threads may keep it.
+    [[nodiscard]] const std::shared_ptr<const service_configuration>& configuration() const { return configuration_; }
 
     /// Services with a route in the configuration in force.
     [[nodiscard]] const std::set<std::string>& used_services() const { return used_services_; }
@@ -98,7 +99,7 @@
     void note_unreadable(const error& problem);
 
     service_directory_options options_;
-    std::optional<service_configuration> configuration_;
+    std::shared_ptr<const service_configuration> configuration_;
     std::set<std::string> used_services_;
     std::map<std::string, member_registration> members_;
     std::map<std::string, member_departure> departing_; ///< Deleted members that are still listed.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -122,6 +122,7 @@
                           .ready_path = settings_->probe_path,
                           .metrics_path = "/metrics",
                           .report_path = "/status",
+                          .configuration_path = "/configuration",
                           .metrics_address = settings_->metrics}),
       reply_producer_(caller_server_.replies()), member_command_producer_(member_client_.commands()),
       peer_command_producer_(peer_service_.commands())
@@ -167,6 +168,10 @@
             .set_ready = [this](bool ready) { monitoring_server_.set_ready(ready); },
             .publish_metrics = [this](const metrics_report& report) { monitoring_server_.publish(report); },
             .publish_report = [this](const gateway_report& report) { monitoring_server_.publish(report); },
+            .publish_configuration =
+                [this](const std::shared_ptr<const service_configuration>& configuration) {
+                    monitoring_server_.publish(configuration);
+                },
             .reload = [this] { reload(); },
             .stop = [this] { stopped_ = true; },
             .random = make_random_generator(),
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -356,6 +356,10 @@
 {
     const auto& configuration = directory_->configuration();
     const std::set<std::string>& used_services = directory_->used_services();
+    if (published_configuration_ != configuration && options_.publish_configuration) {
+        published_configuration_ = configuration;
+        options_.publish_configuration(configuration);
+    }
     assign_daemons();
     std::map<std::string, connection_share> shares;
     for (const std::string& service : used_services) {
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -42,6 +42,7 @@
     std::function<void(bool)> set_ready;
     std::function<void(const metrics_report&)> publish_metrics;
     std::function<void(const gateway_report&)> publish_report;
+    std::function<void(const std::shared_ptr<const service_configuration>&)> publish_configuration; ///< May be empty.
     std::function<void()> reload;
     std::function<void()> stop;
     std::function<std::uint64_t(std::uint64_t)> random; ///< Uniformly distributed number below its argument.
@@ -155,6 +156,7 @@
     metrics_registry metrics_;
     call_number last_call_ = 0;
     std::uint64_t last_suspicion_poll_;
+    std::shared_ptr<const service_configuration> published_configuration_;
     bool directory_changed_ = false;
     bool ready_ = false; ///< As last reported to the readiness probe.
 };
--- a/src/gateway/monitoring_server.cc
+++ b/src/gateway/monitoring_server.cc
@@ -1,6 +1,8 @@
 #include "gateway/monitoring_server.h"
 
+#include "config_check/configuration_summary.h"
 #include "core/endpoint_address.h"
+#include "gateway/configuration_summary_json.h"
 #include "gateway/report_json.h"
 #include "metrics/metrics_text.h"
 
@@ -22,9 +24,11 @@
     std::mutex mutex;
     metrics_report metrics;
     gateway_report report;
+    std::shared_ptr<const service_configuration> configuration;
     std::string ready_path;
     std::string metrics_path;
     std::string report_path;
+    std::string configuration_path;
 };
 
 class monitoring_handler : public http::Handler {
@@ -41,6 +45,9 @@
             response.send(http::Code::Ok, metrics());
         } else if (request.resource() == state_->report_path) {
             response.send(http::Code::Ok, report());
+        } else if (const auto configuration = in_force();
+                   configuration && request.resource() == state_->configuration_path) {
+            response.send(http::Code::Ok, configuration_summary_json(summarize(*configuration)));
         } else {
             response.send(http::Code::Not_Found);
         }
@@ -59,6 +66,12 @@
         return report_json(state_->report);
     }
 
+    std::shared_ptr<const service_configuration> in_force()
+    {
+        const std::lock_guard lock(state_->mutex);
+        return state_->configuration;
+    }
+
     std::shared_ptr<monitoring_state> state_;
 };
 
@@ -72,6 +85,7 @@
         state_->ready_path = options_.ready_path;
         state_->metrics_path = options_.metrics_path;
         state_->report_path = options_.report_path;
+        state_->configuration_path = options_.configuration_path;
     }
 
     result<done> start()
@@ -151,6 +165,12 @@
     impl_->state().report = report;
 }
 
+void monitoring_server::publish(std::shared_ptr<const service_configuration> configuration)
+{
+    const std::lock_guard lock(impl_->state().mutex);
+    impl_->state().configuration = std::move(configuration);
+}
+
 void monitoring_server::stop()
 {
     impl_->stop();
--- a/src/gateway/monitoring_server.h
+++ b/src/gateway/monitoring_server.h
@@ -2,6 +2,7 @@
 
 #include "citronfall/metrics_report.h"
 #include "citronfall/result.h"
+#include "deployment/service_configuration.h"
 #include "gateway/gateway_report.h"
 
 #include <memory>
@@ -11,11 +12,12 @@
 
 /// Options of a monitoring server.
 struct monitoring_server_options {
-    std::string address;         ///< "ip:port" of the readiness probe.
-    std::string ready_path;      ///< Answered with 200 while the daemon is ready, otherwise with 503.
-    std::string metrics_path;    ///< Answered with the latest metrics on each address.
-    std::string report_path;     ///< Answered with the latest report on each address.
-    std::string metrics_address; ///< Second "ip:port" to listen on; empty: none.
+    std::string address;            ///< "ip:port" of the readiness probe.
+    std::string ready_path;         ///< Answered with 200 while the daemon is ready, otherwise with 503.
+    std::string metrics_path;       ///< Answered with the latest metrics on each address.
+    std::string report_path;        ///< Answered with the latest report on each address.
+    std::string configuration_path; ///< Answered with the configuration in force, without keys, on each address.
+    std::string metrics_address;    ///< Second "ip:port" to listen on; empty: none.
 };
 
 /// HTTP server for the load balancer's readiness probe, the metrics and the report, built on Pistache. All methods are
@@ -41,6 +43,9 @@
     /// Replaces the report.
     void publish(const gateway_report& report);
 
+    /// Replaces the configuration.
+    void publish(std::shared_ptr<const service_configuration> configuration);
+
     /// Stops answering.
     void stop();
 
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -1,3 +1,4 @@
+#include "gateway/configuration_summary_json.h"
 #include "http/http_client.h"
 #include "platform/standin/blocking_client.h"
 #include "support/running_gateway.h"
@@ -170,6 +171,13 @@
     CHECK(status.at("services").front().at("leader") == "a");
     CHECK(status.at("services").front().at("evidence_age_ms").get<int>() < 2000);
     CHECK(status.at("members").size() == 3);
+    const auto reply =
+        std::get<http_client>(client).call(http_request{{.target = "/configuration"}}, steady_now() + 2s);
+    REQUIRE(ok(reply));
+    const auto configuration = read_configuration_summary(value_of(reply)->body);
+    REQUIRE(ok(configuration));
+    CHECK(value_of(configuration)->version == 1);
+    CHECK(value_of(configuration)->routes.size() == 3);
 }
 
 TEST_CASE("the metrics count why sessions ended", "[wire]")
