--- a/src/config_check/configuration_difference.cc
+++ b/src/config_check/configuration_difference.cc
@@ -52,7 +52,8 @@
             {"statement_timeout", ms_text(value->statement_timeout)},
             {"target_latency", ms_text(value->target_latency)},
             {"max_staleness", ms_text(value->max_staleness)},
-            {"priority", std::to_string(value->priority)}};
+            {"priority", std::to_string(value->priority)},
+            {"open", value->open ? "yes" : "no"}};
 }
 
 field_texts texts_of(const service_policy& value)
--- a/src/config_check/configuration_summary.cc
+++ b/src/config_check/configuration_summary.cc
@@ -1,6 +1,6 @@
 #include "config_check/configuration_summary.h"
 
-#include <array>
+#include <utility>
 
 #include <boost/uuid/detail/sha1.hpp>
 
@@ -36,10 +36,14 @@
 
 configuration_summary summarize(const service_configuration& configuration)
 {
-    return configuration_summary{{.version = configuration->version,
-                                  .routes = configuration->routes,
-                                  .services = configuration->services,
-                                  .idle_transaction_limit = configuration->idle_transaction_limit}};
+    configuration_summary_fields fields{.version = configuration->version,
+                                        .routes = configuration->routes,
+                                        .services = configuration->services,
+                                        .idle_transaction_limit = configuration->idle_transaction_limit};
+    for (const auto& [name, each] : configuration->tenants) {
+        fields.tenants.emplace(name, without_keys(each));
+    }
+    return configuration_summary{std::move(fields)};
 }
 
 configuration_summary summarize(const configuration_document& document)
--- a/src/gateway/configuration_summary_json.cc
+++ b/src/gateway/configuration_summary_json.cc
@@ -28,7 +28,8 @@
             {"statement_timeout_ms", whole_ms(each->statement_timeout)},
             {"target_latency_ms", whole_ms(each->target_latency)},
             {"max_staleness_ms", whole_ms(each->max_staleness)},
-            {"priority", each->priority}};
+            {"priority", each->priority},
+            {"open", each->open}};
 }
 
 json to_json(const service_policy& each)
@@ -65,7 +66,8 @@
                            .statement_timeout = read_ms(each, "statement_timeout_ms"),
                            .target_latency = read_ms(each, "target_latency_ms"),
                            .max_staleness = read_ms(each, "max_staleness_ms"),
-                           .priority = each.at("priority").get<std::uint32_t>()}};
+                           .priority = each.at("priority").get<std::uint32_t>(),
+                           .open = each.at("open").get<bool>()}};
         fields.routes.emplace(value->database, value);
     }
     for (const json& each : source.at("services")) {
