Move the opening and closing of connections to members into a file of its own

member_pool.cc held 482 lines of three duties: the state of connections, exchanges on them, and how many of them there are. Nothing else changes.

member_pool.cc -> member_pool_opening.cc: check_members, demand, close_surplus, needs_connection, keep_one_open, open, open_if_none_idle, arm_surplus_check

--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -13,10 +13,8 @@
 /// slot. Without the timeout a lost answer would occupy the connection for ever, and members accept few connections.
 constexpr duration internal_answer_timeout = std::chrono::milliseconds(800);
 
-/// Interval of attempts to open the first connection to a member while the budget does not allow one.
-constexpr duration connection_check_interval = std::chrono::milliseconds(50);
-
 } // namespace
+
 result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks, duration draining_grace)
 {
     std::unique_ptr<member_pool> pool(new member_pool(std::move(hooks), draining_grace));
@@ -116,21 +114,6 @@
     check_members(now);
 }
 
-/// Makes all decisions due that the new configuration may have changed.
-void member_pool::check_members(instant now)
-{
-    connection_checks_.clear();
-    for (const auto& [id, each] : members_) {
-        if (needs_connection(each)) {
-            connection_checks_[id] = now;
-        }
-        for (const connection_number number : each.idle) {
-            connections_.at(number).surplus_check_armed = false; // A check that is armed may be too late.
-            arm_surplus_check(connections_.at(number), now);
-        }
-    }
-}
-
 void member_pool::erase_unused_member(const std::string& id)
 {
     const auto found = members_.find(id);
@@ -191,85 +174,6 @@
     }
 }
 
-connection_demand member_pool::demand(const pooled_member& target) const
-{
-    return {.limit = target.limit,
-            .daemons = target.holders,
-            .is_holder = target.is_holder,
-            .open = target.all.size(),
-            .opening = target.opening,
-            .waiting = target.waiting,
-            .refused_at = target.refused_at};
-}
-
-/// Closes connections that have been idle for too long, or whose member is no longer registered.
-void member_pool::close_surplus(instant now)
-{
-    while (const auto number = surplus_checks_.pop_due(now)) {
-        pooled_connection* each = find(*number);
-        if (each == nullptr) {
-            continue;
-        }
-        each->surplus_check_armed = false;
-        const pooled_member& target = members_.at(each->member);
-        if (!target.idle.contains(*number)) {
-            continue; // In use; a check is armed when it becomes idle.
-        }
-        const instant due = target.listed ? surplus_check_time(each->idle_since) : now;
-        if (now < due) {
-            arm_surplus_check(*each, due);
-        } else if (!target.listed || should_close(demand(target), each->idle_since, now)) {
-            fire(*each, event::discard, now);
-        }
-    }
-}
-
-/// Whether the member is registered and has no connection, although this daemon keeps connections to it.
-bool member_pool::needs_connection(const pooled_member& target)
-{
-    return target.listed && target.all.empty() && target.is_holder;
-}
-
-void member_pool::keep_one_open(instant now)
-{
-    for (auto each = connection_checks_.begin(); each != connection_checks_.end();) {
-        const auto found = members_.find(each->first);
-        if (now < each->second) {
-            ++each;
-            continue;
-        }
-        if (found != members_.end() && needs_connection(found->second)) {
-            open(found->second, now);
-        }
-        if (found != members_.end() && needs_connection(found->second)) {
-            each->second = std::max(found->second.next_attempt, now + connection_check_interval);
-            ++each;
-        } else {
-            each = connection_checks_.erase(each);
-        }
-    }
-}
-
-void member_pool::open(pooled_member& target, instant now)
-{
-    if (!target.listed || now < target.next_attempt || !may_open(demand(target), now)) {
-        return;
-    }
-    const connection_number number = ++last_connection_;
-    pooled_connection& opened = connections_[number];
-    opened.number = number;
-    opened.member = target.entry->id;
-    opened.state = program_->initial();
-    opened.opened_at = now;
-    target.all.insert(number);
-    ++target.opening;
-    ++opened_total_;
-    hooks_.send(open_member_connection{{.connection = number,
-                                        .address = target.entry->address,
-                                        .service = target.entry->service,
-                                        .member = target.entry->id}});
-}
-
 connection_number member_pool::acquire(const std::string& member, const acquire_options& options, instant now)
 {
     const auto found = members_.find(member);
@@ -299,15 +203,6 @@
     return chosen;
 }
 
-void member_pool::open_if_none_idle(const std::string& member, std::size_t waiting, instant now)
-{
-    const auto found = members_.find(member);
-    if (found != members_.end() && found->second.idle.empty()) {
-        found->second.waiting = waiting;
-        open(found->second, now);
-    }
-}
-
 void member_pool::send(connection_number connection, member_query query, exchange hooks)
 {
     pooled_connection* pooled = find(connection);
@@ -428,13 +323,6 @@
     }
 }
 
-void member_pool::arm_surplus_check(pooled_connection& pooled, instant due)
-{
-    if (!std::exchange(pooled.surplus_check_armed, true)) {
-        surplus_checks_.arm(due, pooled.number);
-    }
-}
-
 void member_pool::make_idle(pooled_connection& pooled, instant now)
 {
     pooled_member& target = members_.at(pooled.member);
