Read the list of daemons and connect to relays before members

After a loss of all power members refused more than a thousand connections as over their limit.

Cause: a daemon that is not assigned to a service, but not yet connected to one that is, took the service for its own and connected to all its members, to look for the leader. 58 daemons x 24 members are 1,392 connections. A daemon that had not read the list of daemons did the same as the only one. Ruled out: attempts of the assigned daemons alone; with 20 former connections a member has room for all of them.

A chart (daemon_start) now orders the start: list of daemons, connections with the daemons of each service, callers. Both waits are bounded. Callers who come meanwhile wait; a session that is admitted finds its service being looked for, where it was refused with no_primary before the first tick. For 3.5 s members may count the connections of former runs, and the budget leaves room for them. After a refusal for lack of room a daemon tries one connection at a time, and pauses longer if it has others.

--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -143,7 +143,7 @@
     statement_relay_->end_overdue_transactions(idle_limit, now);
     sessions_->tick(idle_limit, now);
     lifecycle_->set_can_serve(
-        directory_->configuration() && (pool_->open_connections() > 0 || relay_directory_.relays_somewhere()), now);
+        start_->accepts_callers() && (pool_->open_connections() > 0 || relay_directory_.relays_somewhere()), now);
     lifecycle_->tick(now);
     if (now >= next_connections_log_) {
         next_connections_log_ = now + connections_log_interval;
@@ -176,10 +176,17 @@
 void gateway_engine::finish_event(instant now)
 {
     dispatcher_->report(now);
+    start_->update({.configured = directory_->configuration().has_value(), .listed = replica_->has_daemons()}, now);
     if (std::exchange(directory_changed_, false)) {
         reconfigure(now);
         dispatcher_->report(now);
     }
+    if (!start_->accepts_callers() && relay_directory_.reaches_all_services()) {
+        start_->relays_connected(now);
+        tick_services(now); // Further callers may come before the next tick.
+        sessions_->admit_delayed_starts(now);
+        dispatcher_->report(now);
+    }
 }
 
 void gateway_engine::on_event(const caller_event& event, instant now)
@@ -353,10 +360,24 @@
 
 /// Applies the current contents of the directory to the pool, the primary changes and the peer connections.
 void gateway_engine::reconfigure(instant now)
+{
+    assign_daemons();
+    if (start_->may_connect()) {
+        configure_pool(now);
+    }
+    add_primary_changes(now);
+    sessions_->admit_delayed_starts(now);
+    send_candidates();
+    registrar_->directory_changed(now);
+    pool_->tick(now);
+    tick_wanted_ = true;
+}
+
+/// Sets the members and the shares of their connections.
+void gateway_engine::configure_pool(instant now)
 {
     const auto& configuration = directory_->configuration();
     const std::set<std::string>& used_services = directory_->used_services();
-    assign_daemons();
     std::map<std::string, connection_share> shares;
     for (const std::string& service : used_services) {
         const auto& services = (*configuration)->services;
@@ -372,12 +393,6 @@
         }
     }
     pool_->configure(members, shares, now);
-    add_primary_changes(now);
-    sessions_->admit_delayed_starts(now);
-    send_candidates();
-    registrar_->directory_changed(now);
-    pool_->tick(now);
-    tick_wanted_ = true;
 }
 
 void gateway_engine::add_primary_changes(instant now)
@@ -454,9 +469,13 @@
 
 void gateway_engine::tick_services(instant now)
 {
+    next_services_tick_ = now + max_tick_interval;
+    if (!start_->may_connect()) {
+        return; // Too few daemons may be known to tell which services this one is assigned to.
+    }
     const std::set<std::string> before = std::exchange(direct_services_, {});
     for (const std::string& service : directory_->used_services()) {
-        const bool cannot_relay = relay_directory_.connected_to(service).empty();
+        const bool cannot_relay = start_->accepts_callers() && relay_directory_.connected_to(service).empty();
         if (relay_directory_.is_assigned(service) || is_relayed_here(service, now) || cannot_relay) {
             direct_services_.insert(service);
             if (!before.contains(service)) {
@@ -464,7 +483,6 @@
             }
         }
     }
-    next_services_tick_ = now + max_tick_interval;
     monitor_->tick(direct_services_, now);
     for (const auto& [service, change] : primary_changes_) {
         if (direct_services_.contains(service)) {
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -9,6 +9,7 @@
 #include "directory/service_directory.h"
 #include "dispatch/statement_dispatcher.h"
 #include "event_log/event_log.h"
+#include "gateway/daemon_start.h"
 #include "gateway/gateway_event.h"
 #include "gateway/gateway_lifecycle.h"
 #include "gateway/gateway_report.h"
@@ -83,6 +84,7 @@
     result<done> build_pool();
     result<done> build_sessions();
     result<done> build_lifecycle();
+    result<done> build_start();
     void build_relay();
 
     void on_event(const caller_event& event, instant now);
@@ -112,6 +114,7 @@
     call_number call_store(call_body body, duration timeout);
     void apply_store_item(const store_item& item, store_era era);
     void reconfigure(instant now);
+    void configure_pool(instant now);
     void add_primary_changes(instant now);
     void leadership_proved(const std::string& service, const std::string& member, const log_position& position,
                            instant sent_at, instant now);
@@ -145,6 +148,7 @@
     std::unique_ptr<session_table> sessions_;
     std::unique_ptr<statement_relay> statement_relay_;
     std::unique_ptr<gateway_lifecycle> lifecycle_;
+    std::unique_ptr<daemon_start> start_;
     std::map<std::string, service_state> services_;
     std::set<std::string> direct_services_; ///< Used services whose members this daemon connects to itself.
     relay_directory relay_directory_;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -29,7 +29,7 @@
     build_relay();
     for (const auto& step :
          {&gateway_engine::build_pool, &gateway_engine::build_replica, &gateway_engine::build_registrar,
-          &gateway_engine::build_sessions, &gateway_engine::build_lifecycle}) {
+          &gateway_engine::build_sessions, &gateway_engine::build_lifecycle, &gateway_engine::build_start}) {
         if (auto built = (this->*step)(); !ok(built)) {
             return built;
         }
@@ -171,7 +171,7 @@
              if (!lifecycle_->accepts(now)) {
                  return error_kind::leaving;
              }
-             return directory_->configuration() ? std::nullopt : std::optional(error_kind::not_ready);
+             return start_->accepts_callers() ? std::nullopt : std::optional(error_kind::not_ready);
          },
          .submit = [this](const task_request& request, instant now) { return submit(request, now); },
          .cancel =
@@ -247,6 +247,33 @@
     return done{};
 }
 
+result<done> gateway_engine::build_start()
+{
+    auto start = daemon_start::make(
+        {.connect =
+             [this](instant now) {
+                 if (!options_.settings->first_start) {
+                     pool_->expect_former_connections(now);
+                 }
+                 directory_changed_ = true;
+             },
+         .accept_callers =
+             [this](instant now) {
+                 next_services_tick_ = now;
+                 tick_wanted_ = true;
+             },
+         .call_at = [this](instant due, std::function<void(instant)> call) { timers_.arm(due, std::move(call)); },
+         .log =
+             [this](const std::string& event, const std::string& fields) {
+                 log(log_priority::notable, event, fields);
+             }});
+    if (!ok(start)) {
+        return error_of(start);
+    }
+    start_ = take(std::move(start));
+    return done{};
+}
+
 result<done> gateway_engine::add_primary_change(const std::string& service)
 {
     auto change = primary_change::make(
--- a/src/mirror/store_replica.cc
+++ b/src/mirror/store_replica.cc
@@ -120,6 +120,16 @@
     return watchers_.empty() || watchers_.contains(options_.self->name) || now_ < watches_until_;
 }
 
+bool store_replica::has_daemons() const
+{
+    for (std::size_t i = 0; i < mirrors_.size(); ++i) {
+        if (options_.ranges[i].has_daemons && mirrors_[i]->table().complete_to() == store_revision{}) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Watches by itself if no watcher has confirmed the copy for too long.
 void store_replica::check_confirmation()
 {
--- a/src/mirror/store_replica.h
+++ b/src/mirror/store_replica.h
@@ -78,6 +78,9 @@
     /// Latest era of the store that the copies or the digests of peers state.
     [[nodiscard]] store_era era() const { return gossip_->era(); }
 
+    /// Whether this daemon has a copy of the registrations of the daemons.
+    [[nodiscard]] bool has_daemons() const;
+
     /// Whether this daemon watches the store at present.
     [[nodiscard]] bool watches() const;
 
--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -20,6 +20,12 @@
 /// `borrowed_idle_limit`.
 constexpr duration refusal_pause = std::chrono::milliseconds(500);
 
+/// Upper bound on the pause, which doubles with each refusal in succession, of a daemon that has connections.
+constexpr duration max_refusal_pause = std::chrono::seconds(2);
+
+/// For how long members keep the connections of a daemon that has lost power, with a margin for its own start.
+constexpr duration former_connection_lifetime = std::chrono::milliseconds(3500);
+
 /// Idle time after which a borrowed connection is closed. A shorter time would open and close connections with every
 /// fluctuation of the load.
 constexpr duration borrowed_idle_limit = std::chrono::seconds(1);
@@ -30,8 +36,32 @@
         static_cast<std::size_t>(limit / static_cast<double>(std::max<std::size_t>(daemons, 1))), 1);
 }
 
+/// A daemon without a connection tries again at a constant interval, as its callers cannot be served.
+duration pause_after_refusal(const connection_demand& demand)
+{
+    if (demand.open == 0 || demand.refusals == 0) {
+        return refusal_pause;
+    }
+    constexpr std::size_t max_doublings = 2;
+    return std::min<duration>(refusal_pause * (1U << std::min(demand.refusals - 1, max_doublings)), max_refusal_pause);
+}
+
+/// Connections that this daemon may have at most.
+std::size_t upper_bound_of(const connection_demand& demand, instant now)
+{
+    if (now < demand.former_until) {
+        return std::max(share_of(demand.limit * (1 - idle_fraction), demand.daemons), std::size_t{2});
+    }
+    return std::max(share_of(demand.limit * borrow_factor, demand.daemons), std::size_t{2});
+}
+
 } // namespace
 
+instant former_connections_end(instant started_at)
+{
+    return started_at + former_connection_lifetime;
+}
+
 std::size_t fair_share(std::uint32_t limit, std::size_t daemons)
 {
     return share_of(limit * idle_fraction, daemons);
@@ -39,17 +69,16 @@
 
 bool may_open(const connection_demand& demand, instant now)
 {
-    if (demand.opening >= max_opening) {
+    if (demand.opening >= (demand.refusals > 0 ? 1 : max_opening)) {
         return false;
     }
-    if (demand.refused_at && now - *demand.refused_at < refusal_pause) {
+    if (demand.refused_at && now - *demand.refused_at < pause_after_refusal(demand)) {
         return false;
     }
     if (demand.open == 0) {
         return true;
     }
-    return demand.waiting > demand.opening &&
-           demand.open < std::max<std::size_t>(share_of(demand.limit * borrow_factor, demand.daemons), 2);
+    return demand.waiting > demand.opening && demand.open < upper_bound_of(demand, now);
 }
 
 instant surplus_check_time(instant idle_since)
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -62,6 +62,10 @@
     void configure(const std::map<std::string, member_registration>& entries,
                    const std::map<std::string, connection_share>& shares, instant now);
 
+    /// This daemon starts at `now`. All daemons may have started, and members keep the connections of those that lost
+    /// power for some time: until then the budget leaves room for them.
+    void expect_former_connections(instant now) { former_connections_until_ = former_connections_end(now); }
+
     /// Handles an event of the member thread.
     void handle(const member_event& message, instant now);
 
@@ -177,6 +181,7 @@
     connection_number last_connection_ = 0;
     std::uint64_t opened_total_ = 0;
     instant silence_counts_from_{};
+    instant former_connections_until_{};
 };
 
 } // namespace citronfall
--- a/src/pool/member_pool_events.cc
+++ b/src/pool/member_pool_events.cc
@@ -51,6 +51,7 @@
     pooled_member& target = members_.at(pooled->member);
     const std::string member = pooled->member;
     --target.opening;
+    target.refusals = 0;
     const member_reachability before = target.health.reachability();
     target.health.answered(now);
     fire(*pooled, event::opened, now);
@@ -149,6 +150,7 @@
         target.next_attempt = now + rejected_pause;
         if (closed->failure && (*closed->failure)->kind == error_kind::too_many_connections) {
             target.refused_at = now;
+            ++target.refusals;
         } else if (closed->failure && (*closed->failure)->kind == error_kind::wrong_member) {
             target.next_attempt = now + wrong_member_pause;
         }
--- a/src/pool/member_pool_opening.cc
+++ b/src/pool/member_pool_opening.cc
@@ -34,7 +34,9 @@
             .open = target.all.size(),
             .opening = target.opening,
             .waiting = target.waiting,
-            .refused_at = target.refused_at};
+            .refused_at = target.refused_at,
+            .refusals = target.refusals,
+            .former_until = former_connections_until_};
 }
 
 /// Closes connections that have been idle for too long, or whose member is no longer registered.
--- a/src/pool/pooled_member.h
+++ b/src/pool/pooled_member.h
@@ -27,6 +27,7 @@
     member_health health;
     latency_estimate latency;
     std::optional<instant> refused_at;     ///< Last refusal of a connection because the limit was reached.
+    std::size_t refusals = 0;              ///< Such refusals since a connection was last opened.
     instant next_attempt{};                ///< Earliest time of the next connection attempt.
     instant first_seen_at{};               ///< When this start of the member was first seen; start of its warm-up time.
     std::optional<instant> draining_since; ///< When the member was first seen draining.
--- a/src/relay/relay_directory.cc
+++ b/src/relay/relay_directory.cc
@@ -106,6 +106,7 @@
 void relay_directory::update_connected()
 {
     relays_somewhere_ = false;
+    reaches_all_services_ = true;
     for (auto& [service, entry] : services_) {
         entry.connected.clear();
         for (const std::string& each : entry.assignment->targets) {
@@ -114,7 +115,9 @@
             }
         }
         entry.targets = first_staying(entry.connected, leaving_, relay_targets_used);
-        relays_somewhere_ = relays_somewhere_ || (!entry.assignment->self_assigned && !entry.connected.empty());
+        const bool assigned = entry.assignment->self_assigned;
+        relays_somewhere_ = relays_somewhere_ || (!assigned && !entry.connected.empty());
+        reaches_all_services_ = reaches_all_services_ && (assigned || !entry.connected.empty());
     }
 }
 
--- a/src/relay/relay_directory.h
+++ b/src/relay/relay_directory.h
@@ -63,6 +63,9 @@
     /// Whether there is a service that this daemon can serve only by relaying, and to which it can relay.
     [[nodiscard]] bool relays_somewhere() const { return relays_somewhere_; }
 
+    /// Whether this daemon is assigned to each service, or connected to a daemon that is.
+    [[nodiscard]] bool reaches_all_services() const { return reaches_all_services_; }
+
     /// Connected peers.
     [[nodiscard]] const std::set<std::string>& peers() const { return peers_; }
 
@@ -91,6 +94,7 @@
     std::map<std::string, instant> pinned_;      ///< Daemons, with the time since when they are pinned.
     std::map<std::string, instant> unreachable_; ///< Daemons that are not pinned until the time stated.
     bool relays_somewhere_ = false;
+    bool reaches_all_services_ = true;
 };
 
 } // namespace citronfall
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -18,6 +18,9 @@
 constexpr duration first_retransmission = 200ms;
 constexpr duration max_retransmission = 1600ms;
 constexpr duration store_advance_interval = 50ms; ///< Interval of checks for due leases, watches and promotions.
+constexpr duration start_spread = 300ms;          ///< Within which daemons start that were switched on together.
+constexpr duration peer_connect_time = 30ms;      ///< From the start of a daemon to its connections with others.
+constexpr duration lost_connection_time = 3s;     ///< For which members keep the connections of a daemon without power.
 constexpr const char* service = "ledger";
 
 bool starts_with(const std::string& text, const char* prefix)
@@ -61,12 +64,6 @@
     return ids;
 }
 
-/// Connection numbers are unique only within a daemon, so the daemon's index is added.
-standin::member_session member_session_id(std::size_t daemon, connection_number connection)
-{
-    return (static_cast<standin::member_session>(daemon) << 32U) | connection;
-}
-
 /// A fake configuration is "VERSION MAX_CONNECTIONS SYNC_REPLICAS DATABASE...".
 result<service_configuration> read_fake_deployment(std::string_view value)
 {
@@ -295,7 +292,7 @@
 {
     daemons_[index]->stopped = true;
     for (const auto& [connection, member] : std::exchange(daemons_[index]->connections, {})) {
-        service_.close(member, member_session_id(index, connection)); // By the end of the process.
+        service_.close(member, session_of(index, connection)); // By the end of the process.
     }
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         if (i != index) {
@@ -304,6 +301,39 @@
     }
 }
 
+/// Connection numbers are unique only within a run of a daemon, so its index and the number of its restarts are added.
+standin::member_session gateway_simulation::session_of(std::size_t daemon, connection_number connection) const
+{
+    constexpr std::uint64_t max_daemons = 1024;
+    return ((daemons_[daemon]->restarts * max_daemons + daemon) << 32U) | connection;
+}
+
+void gateway_simulation::lose_all_power(duration off)
+{
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        daemons_[i]->stopped = true;
+        for (const auto& [connection, member] : std::exchange(daemons_[i]->connections, {})) {
+            time_.after(lost_connection_time,
+                        [this, id = member, session = session_of(i, connection)] { service_.close(id, session); });
+        }
+        const auto position = static_cast<duration::rep>(i);
+        const auto daemons = static_cast<duration::rep>(daemons_.size());
+        time_.after(off + start_spread * position / daemons, [this, i] { start_again(i); });
+    }
+}
+
+/// Starts a daemon that has no power yet; its connections with the others come about a little later.
+void gateway_simulation::start_again(std::size_t index)
+{
+    daemons_[index]->stopped = false;
+    start_daemon(index, ++daemons_[index]->restarts);
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        if (i != index && !daemons_[i]->stopped) {
+            time_.after(peer_connect_time, [this, index, i] { connect_peers(index, i); });
+        }
+    }
+}
+
 void gateway_simulation::tick_daemon(std::size_t index)
 {
     simulated_daemon& daemon = *daemons_[index];
@@ -498,7 +528,7 @@
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         std::erase_if(daemons_[i]->connections, [&](const auto& each) {
             if (each.second == id) {
-                service_.close(id, member_session_id(i, each.first));
+                service_.close(id, session_of(i, each.first));
                 deliver(i, member_event(member_connection_closed{
                                {.connection = each.first, .end = connection_end_reason::reset}}));
             }
@@ -719,7 +749,7 @@
     } else if (const auto* closing = std::get_if<close_member_connection>(&command)) {
         const auto found = daemons_[daemon]->connections.find((*closing)->connection);
         if (found != daemons_[daemon]->connections.end()) {
-            service_.close(found->second, member_session_id(daemon, found->first));
+            service_.close(found->second, session_of(daemon, found->first));
             daemons_[daemon]->connections.erase(found);
         }
     }
@@ -742,7 +772,8 @@
         close_later(connection_end_reason::no_answer, 400ms);
     } else if (!service_.up(member)) {
         close_later(connection_end_reason::refused, 2 * message_delay);
-    } else if (const auto refusal = service_.open(member, member_session_id(daemon, command->connection))) {
+    } else if (const auto refusal = service_.open(member, session_of(daemon, command->connection))) {
+        refused_connections_ += refusal == error_kind::too_many_connections ? 1 : 0;
         close_later(connection_end_reason::rejected, 2 * message_delay, error{{.kind = *refusal, .detail = "fake"}});
     } else {
         daemons_[daemon]->connections[command->connection] = member;
@@ -776,7 +807,7 @@
                                                    .position = service_.committed()}}));
         return;
     }
-    member_reply_fields reply = service_.answer(found->second, member_session_id(daemon, connection), query, now());
+    member_reply_fields reply = service_.answer(found->second, session_of(daemon, connection), query, now());
     reply.connection = connection;
     std::size_t& to_lose = members_.at(found->second).answers_to_lose;
     if (!query->request_id.empty() && to_lose > 0) {
--- a/tests/support/gateway_simulation.h
+++ b/tests/support/gateway_simulation.h
@@ -116,7 +116,11 @@
     void restart_daemon(std::size_t daemon); ///< Its process ends without notice, and a new one starts.
     void terminate(std::size_t daemon);
     void kill(std::size_t daemon) { stop_daemon(daemon); } ///< Its process ends without notice; connections are closed.
-    void pause_member(const std::string& id);              ///< As by a daemon that ends during a change of primary.
+
+    /// All daemons lose power at once and start again after `off`, one after the other within 300 ms. Members keep the
+    /// connections of the former run for 3 s. Precondition: `off` is at least 300 ms.
+    void lose_all_power(duration off);
+    void pause_member(const std::string& id); ///< As by a daemon that ends during a change of primary.
     void cut_member(std::size_t daemon, const std::string& id, bool cut); ///< Messages between the two are lost.
     void cut_peers(std::size_t daemon, bool cut); ///< Messages to and from other daemons are lost.
 
@@ -138,6 +142,9 @@
     [[nodiscard]] bool ready(std::size_t daemon) const;
     [[nodiscard]] bool stopped(std::size_t daemon) const;
     [[nodiscard]] std::size_t connections_in_use(const std::string& id) const; ///< Open transactions on the member.
+
+    /// Connections that members refused because their limit was reached.
+    [[nodiscard]] std::size_t refused_connections() const { return refused_connections_; }
     [[nodiscard]] std::size_t runs(const std::string& request_id) const; ///< How many times members ran the request.
     /// How often an item was written by a commit, and how often such a commit was not lost in a change of primary.
     struct write_count {
@@ -171,6 +178,8 @@
     void start_daemon(std::size_t index, std::uint64_t run = 0);
     void connect_peers(std::size_t daemon, std::size_t other);
     void stop_daemon(std::size_t index);
+    void start_again(std::size_t index);
+    [[nodiscard]] standin::member_session session_of(std::size_t daemon, connection_number connection) const;
     void tick_daemon(std::size_t index);
     void deliver(std::size_t daemon, const gateway_event& event, duration delay = std::chrono::milliseconds(1));
     void deliver_from_caller(std::size_t daemon, const caller_event& event);
@@ -197,6 +206,7 @@
     bool first_start_;
     std::size_t store_calls_ = 0;
     std::size_t cheap_store_calls_ = 0;
+    std::size_t refused_connections_ = 0;
     session_number last_session_ = 0;
     std::uint64_t last_request_ = 0;
     double lost_share_ = 0;
