Find the pace of members that start or recover from their answers

A member that comes back was used without limit by every daemon that holds connections to it, as its latency was unknown or that of the others, or left alone for seconds, as its latency estimate from before outlived its outage.

member_pace decides how many statements this daemon may have in flight on such a member. It begins at the daemon's part of half the slots, with pauses where that is below one statement, grows with answers in good time compared with the other members of the service, shrinks with refusals beyond theirs, slow answers and time-outs, and ends when the member answers like the others. The only member that can serve a statement always gets one at a time. The latency estimate starts anew with each ramp.

Ramps are logged (member_ramp_started, member_ramp_ended), counted (member_ramps_total) and shown by citronfallctl gateway (ALLOWANCE).

--- a/src/ctl/gateway_commands.cc
+++ b/src/ctl/gateway_commands.cc
@@ -31,7 +31,7 @@
     for (const json& each : list) {
         std::vector<std::string> row;
         for (const std::string& key : keys) {
-            row.push_back(text_of(each.at(key)));
+            row.push_back(text_of(each.value(key, json()))); // A daemon of an earlier version has fewer.
         }
         rows.push_back(std::move(row));
     }
@@ -49,9 +49,10 @@
         context, report.at("services"),
         {"SERVICE", "LEADER", "TERM", "EVIDENCE MS", "LEADERLESS MS", "CHANGES BY", "REACHED", "WAITING"},
         {"service", "leader", "term", "evidence_age_ms", "leaderless_for_ms", "duty_holder", "reached", "waiting"});
-    print_list(context, report.at("members"),
-               {"MEMBER", "SERVICE", "ADDRESS", "REACH", "LEADS", "DRAINING", "CONNECTIONS", "IDLE", "RUNNING"},
-               {"member", "service", "address", "reach", "leads", "draining", "connections", "idle", "running"});
+    print_list(
+        context, report.at("members"),
+        {"MEMBER", "SERVICE", "ADDRESS", "REACH", "LEADS", "DRAINING", "CONNECTIONS", "IDLE", "RUNNING", "ALLOWANCE"},
+        {"member", "service", "address", "reach", "leads", "draining", "connections", "idle", "running", "allowance"});
 }
 
 void print_explanation(const tool_context& context, const log_explanation& found)
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -50,7 +50,7 @@
 {
     const bool unreachable =
         each->reachability == member_reachability::silent || each->reachability == member_reachability::down;
-    if (unreachable || each->refused || each->idle == 0) {
+    if (unreachable || each->refused || each->paused || each->idle == 0) {
         return false;
     }
     if ((each->draining && !filter.draining) || (!each->has_min_position && !filter.lagging)) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -21,6 +21,7 @@
     bool has_min_position = true; ///< Its log is expected to contain the position that the read requires.
     bool refused = false;         ///< It has refused this read.
     bool local = false;           ///< In the data centre of this daemon.
+    bool paused = false;          ///< It has just started or recovered, and its pace allows no further statement now.
     bool warming_up = false;
     member_reachability reachability = member_reachability::reachable;
     std::size_t idle = 0;    ///< Idle connections to it.
--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -55,7 +55,7 @@
 {
     const std::string& service = task.request->matched_route->service;
     const auto& leader = hooks_.service(service).leadership.leader();
-    if (!leader || !pool_.accepts_statements(*leader, now)) {
+    if (!leader || !pool_.accepts_statements(*leader, now) || !pool_.pace_allows(*leader, true, now)) {
         return false;
     }
     const connection_number connection =
@@ -90,6 +90,7 @@
                                             .has_min_position = likely_holds,
                                             .refused = task.excluded.contains(id),
                                             .local = each.entry->data_center == data_center_,
+                                            .paused = !pool_.pace_allows(id, false, now),
                                             .warming_up = now - each.first_seen_at < each.entry->warm_up_left,
                                             .reachability = each.health.reachability(),
                                             .idle = each.idle.size(),
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -384,7 +384,8 @@
         const auto found = services.find(service);
         shares[service] = {.limit = found == services.end() ? 0 : found->second->max_connections,
                            .holders = relay_directory_.assigned(service).size(),
-                           .is_holder = relay_directory_.is_assigned(service)};
+                           .is_holder = relay_directory_.is_assigned(service),
+                           .position = relay_directory_.own_position(service).value_or(0)};
     }
     std::map<std::string, member_registration> members;
     for (const auto& [id, entry] : directory_->members()) {
@@ -515,6 +516,7 @@
         fields.counters["statements_in_progress"] = dispatcher_->size();
         fields.counters["member_connections"] = pool_->open_connections();
         fields.counters["member_connections_opened_total"] = pool_->opened_total();
+        fields.counters["member_ramps_total"] = pool_->ramps_total();
         fields.counters["entries_unreadable_total"] = directory_->unreadable_total();
         fields.counters["configuration_version"] =
             directory_->configuration() ? (*directory_->configuration())->version : 0;
--- a/src/gateway/gateway_engine_report.cc
+++ b/src/gateway/gateway_engine_report.cc
@@ -18,16 +18,18 @@
     }
     for (const auto& [id, each] : pool_->members()) {
         const auto known = services_.find(each.entry->service);
-        fields.members.push_back({.id = id,
-                                  .service = each.entry->service,
-                                  .address = each.entry->address,
-                                  .reachability = member_reachability_name(each.health.reachability()),
-                                  .leads = known != services_.end() && known->second.leadership.leader() == id,
-                                  .draining = each.entry->draining,
-                                  .listed = each.listed,
-                                  .connections = each.all.size(),
-                                  .idle = each.idle.size(),
-                                  .running = each.running});
+        fields.members.push_back(
+            {.id = id,
+             .service = each.entry->service,
+             .address = each.entry->address,
+             .reachability = member_reachability_name(each.health.reachability()),
+             .leads = known != services_.end() && known->second.leadership.leader() == id,
+             .draining = each.entry->draining,
+             .listed = each.listed,
+             .connections = each.all.size(),
+             .idle = each.idle.size(),
+             .running = each.running,
+             .allowance = each.pace.ramping() ? std::optional(each.pace.allowance()) : std::nullopt});
     }
     return gateway_report{std::move(fields)};
 }
--- a/src/gateway/gateway_report.h
+++ b/src/gateway/gateway_report.h
@@ -23,6 +23,7 @@
     std::size_t connections = 0;
     std::size_t idle = 0;
     std::size_t running = 0;
+    std::optional<double> allowance{}; ///< Statements that may be in flight during a ramp; empty without one.
 
     friend auto operator<=>(const reported_member&, const reported_member&) = default;
 };
--- a/src/gateway/report_json.cc
+++ b/src/gateway/report_json.cc
@@ -26,11 +26,17 @@
 
 json to_json(const reported_member& each)
 {
-    return {{"member", each.id},       {"service", each.service},
-            {"address", each.address}, {"reach", each.reachability},
-            {"leads", each.leads},     {"draining", each.draining},
-            {"listed", each.listed},   {"connections", each.connections},
-            {"idle", each.idle},       {"running", each.running}};
+    return {{"member", each.id},
+            {"service", each.service},
+            {"address", each.address},
+            {"reach", each.reachability},
+            {"leads", each.leads},
+            {"draining", each.draining},
+            {"listed", each.listed},
+            {"connections", each.connections},
+            {"idle", each.idle},
+            {"running", each.running},
+            {"allowance", each.allowance ? json(*each.allowance) : json()}};
 }
 
 } // namespace
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -13,6 +13,9 @@
 /// slot. Without the timeout a lost answer would occupy the connection for ever, and members accept few connections.
 constexpr duration internal_answer_timeout = std::chrono::milliseconds(800);
 
+/// Members that are listed later than this after the first ones have started since.
+constexpr duration first_list_time = std::chrono::seconds(2);
+
 } // namespace
 
 result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks, duration draining_grace)
@@ -68,7 +71,7 @@
                  }},
                 {"forget",
                  [](context& each) {
-                     each.pool.forget(each.pooled);
+                     each.pool.forget(each.pooled, each.now);
                  }},
             }};
 }
@@ -86,6 +89,9 @@
         each.listed = entries.contains(id);
     }
     listed_.clear();
+    if (!entries.empty() && !first_members_at_) {
+        first_members_at_ = now;
+    }
     for (const auto& [id, entry] : entries) {
         listed_[entry->service].push_back(id);
         const auto [place, added] = members_.try_emplace(id);
@@ -95,6 +101,7 @@
         if (added || restarted) {
             each.first_seen_at = now;
             each.next_attempt = now;
+            each.has_started = restarted || now - first_members_at_.value_or(now) > first_list_time;
         }
         each.entry = entry;
         if (!entry->draining) {
@@ -109,6 +116,7 @@
         each.limit = share.limit;
         each.holders = std::max<std::size_t>(share.holders, 1);
         each.is_holder = share.is_holder;
+        each.position = share.position;
     }
     std::erase_if(members_, [](const auto& each) { return !each.second.listed && each.second.all.empty(); });
     check_members(now);
@@ -137,6 +145,7 @@
     close_overdue(now);
     close_surplus(now);
     keep_one_open(now);
+    resume_paused(now);
 }
 
 std::optional<instant> member_pool::next() const
@@ -145,6 +154,9 @@
     for (const auto& [id, check] : connection_checks_) {
         due = due ? std::min(*due, check) : check;
     }
+    for (const auto& [id, until] : paused_) {
+        due = due ? std::min(*due, until) : until;
+    }
     return due;
 }
 
@@ -333,12 +345,16 @@
     arm_surplus_check(pooled, target.listed ? surplus_check_time(now) : now);
 }
 
-void member_pool::forget(pooled_connection& pooled)
+void member_pool::forget(pooled_connection& pooled, instant now)
 {
     pooled_member& target = members_.at(pooled.member);
     for (const exchange& each : pooled.exchanges) {
         target.running -= each.counts_as_load ? 1 : 0;
     }
+    if (std::any_of(pooled.exchanges.begin(), pooled.exchanges.end(),
+                    [](const exchange& each) { return each.counts_as_load; })) {
+        observe_pace(target, pace_signal::unanswered, {}, now);
+    }
     pooled.exchanges.clear();
     target.opening -= pooled.state == program_->initial() ? 1 : 0;
     target.all.erase(pooled.number);
@@ -362,6 +378,10 @@
 void member_pool::update_reachability(pooled_member& target, member_reachability before, instant now)
 {
     const member_reachability after = target.health.reachability();
+    const bool was_lost = before == member_reachability::silent || before == member_reachability::down;
+    if (was_lost && after == member_reachability::reachable) {
+        start_ramp(target, "recovered", now);
+    }
     if (before != after) {
         hooks_.reachability_changed(target.entry->id, after, now);
     }
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -33,9 +33,10 @@
 
 /// How the connections to the members of a service are shared between daemons.
 struct connection_share {
-    std::uint32_t limit = 0; ///< Connections that one member accepts.
-    std::size_t holders = 1; ///< Daemons that keep connections open.
-    bool is_holder = true;   ///< This daemon is one of them; others open connections only on demand.
+    std::uint32_t limit = 0;  ///< Connections that one member accepts.
+    std::size_t holders = 1;  ///< Daemons that keep connections open.
+    bool is_holder = true;    ///< This daemon is one of them; others open connections only on demand.
+    std::size_t position = 0; ///< Of this daemon among them.
 
     friend auto operator<=>(const connection_share&, const connection_share&) = default;
 };
@@ -108,6 +109,10 @@
     /// allows.
     [[nodiscard]] bool accepts_statements(const std::string& id, instant now) const;
 
+    /// Whether the pace of a member that has just started or recovered allows one more statement. A statement is always
+    /// allowed, one at a time, if no other member of the service can be reached, or if `only_this` can serve it.
+    [[nodiscard]] bool pace_allows(const std::string& id, bool only_this, instant now) const;
+
     /// Ids of the registered members of a service, valid until the next call of configure().
     [[nodiscard]] const std::vector<std::string>& members_of(const std::string& service) const;
 
@@ -132,6 +137,9 @@
     /// Number of connections opened so far.
     [[nodiscard]] std::uint64_t opened_total() const { return opened_total_; }
 
+    /// Number of ramps started so far, for members that had started or recovered.
+    [[nodiscard]] std::uint64_t ramps_total() const { return ramps_total_; }
+
 private:
     enum class event : std::uint8_t { opened, acquire, release, rolled_back, ended, discard };
     struct context {
@@ -164,10 +172,16 @@
     void arm_answer_timeout(pooled_connection& pooled, instant due);
     void arm_surplus_check(pooled_connection& pooled, instant due);
     void make_idle(pooled_connection& pooled, instant now);
-    void forget(pooled_connection& pooled);
+    void forget(pooled_connection& pooled, instant now);
     void update_reachability(pooled_member& target, member_reachability before, instant now);
     [[nodiscard]] connection_demand demand(const pooled_member& target) const;
 
+    // Pace (member_pool_pace.cc).
+    void start_ramp(pooled_member& target, const char* reason, instant now);
+    void observe_pace(pooled_member& target, pace_signal signal, duration latency, instant now);
+    void resume_paused(instant now);
+    [[nodiscard]] pace_reference others_of(const pooled_member& target, instant now) const;
+
     member_pool_hooks hooks_;
     duration draining_grace_; ///< How long a draining member still gets new statements.
     std::optional<chart_program<event, context>> program_;
@@ -180,6 +194,9 @@
     std::map<std::string, instant> connection_checks_; ///< Members that may need a first connection, by id.
     connection_number last_connection_ = 0;
     std::uint64_t opened_total_ = 0;
+    std::uint64_t ramps_total_ = 0;
+    std::map<std::string, instant> paused_;   ///< Ends of the pauses between statements, by member.
+    std::optional<instant> first_members_at_; ///< When the first members were listed.
     instant silence_counts_from_{};
     instant former_connections_until_{};
 };
--- a/src/pool/member_pool_events.cc
+++ b/src/pool/member_pool_events.cc
@@ -54,6 +54,9 @@
     target.refusals = 0;
     const member_reachability before = target.health.reachability();
     target.health.answered(now);
+    if (target.has_started) {
+        start_ramp(target, "started", now);
+    }
     fire(*pooled, event::opened, now);
     update_reachability(target, before, now);
     hooks_.idle(member, now);
@@ -94,6 +97,8 @@
     if (finished.counts_as_load) {
         --target.running;
         record_latency(target, reply, now - finished.sent_at, now);
+        const bool refused = reply->failure && (*reply->failure)->kind == error_kind::overloaded;
+        observe_pace(target, refused ? pace_signal::refused : pace_signal::answered, now - finished.sent_at, now);
     }
     update_reachability(target, before, now);
     hooks_.answered(member, reply, finished.sent_at, now);
@@ -120,6 +125,9 @@
     for (const exchange& each : exchanges) {
         target.running -= each.counts_as_load ? 1 : 0;
     }
+    if (std::any_of(exchanges.begin(), exchanges.end(), [](const exchange& each) { return each.counts_as_load; })) {
+        observe_pace(target, pace_signal::unanswered, {}, now);
+    }
     const member_reachability before = target.health.reachability();
     if (opening) {
         record_connect_failure(target, closed, opened_at, now);
--- a/src/pool/member_pool_opening.cc
+++ b/src/pool/member_pool_opening.cc
@@ -92,6 +92,9 @@
     if (!target.listed || now < target.next_attempt || !may_open(demand(target), now)) {
         return;
     }
+    if (target.pace.ramping() && target.all.size() >= target.pace.useful_connections()) {
+        return;
+    }
     const connection_number number = ++last_connection_;
     pooled_connection& opened = connections_[number];
     opened.number = number;
--- a/src/pool/pooled_member.h
+++ b/src/pool/pooled_member.h
@@ -5,6 +5,7 @@
 #include "deployment/member_registration.h"
 #include "pool/latency_estimate.h"
 #include "pool/member_health.h"
+#include "pool/member_pace.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +20,7 @@
     std::uint32_t limit = 0;         ///< Connections that the member accepts from all daemons together.
     std::size_t holders = 1;         ///< Daemons that keep connections to it open.
     bool is_holder = true;           ///< This daemon is one of them.
+    std::size_t position = 0;        ///< Of this daemon among them.
     std::set<connection_number> all; ///< Connections being opened, idle and in use.
     std::set<connection_number> idle;
     std::size_t opening = 0;
@@ -26,6 +28,8 @@
     std::size_t waiting = 0; ///< Statements that waited when no connection was idle; 0 once one becomes idle.
     member_health health;
     latency_estimate latency;
+    member_pace pace;
+    bool has_started = false;              ///< The member has started since a connection to it was last opened.
     std::optional<instant> refused_at;     ///< Last refusal of a connection because the limit was reached.
     std::size_t refusals = 0;              ///< Such refusals since a connection was last opened.
     instant next_attempt{};                ///< Earliest time of the next connection attempt.
