--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -78,6 +78,9 @@
     if (demand.open == 0) {
         return true;
     }
+    if (demand.useful && demand.open >= *demand.useful) {
+        return false;
+    }
     return demand.waiting > demand.opening && demand.open < upper_bound_of(demand, now);
 }
 
--- a/src/pool/connection_budget.h
+++ b/src/pool/connection_budget.h
@@ -18,6 +18,7 @@
     std::size_t waiting = 0;             ///< Statements that wait for a connection.
     std::optional<instant> refused_at{}; ///< When the member last refused a connection because its limit was reached.
     std::size_t refusals = 0;            ///< Such refusals since a connection was last opened.
+    std::optional<std::size_t> useful{}; ///< Connections that the pace of the member lets this daemon use.
     instant former_until{};              ///< Until then the member may count connections of former runs of all daemons.
 };
 
--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -186,33 +186,6 @@
     }
 }
 
-connection_number member_pool::acquire(const std::string& member, const acquire_options& options, instant now)
-{
-    const auto found = members_.find(member);
-    if (found == members_.end()) {
-        return 0;
-    }
-    pooled_member& target = found->second;
-    if (target.idle.empty()) {
-        target.waiting = options.waiting;
-        open(target, now);
-        return 0;
-    }
-    const auto fitting = std::find_if(target.idle.begin(), target.idle.end(), [&](connection_number each) {
-        return connections_.at(each).values == options.values;
-    });
-    const auto clean = std::find_if(target.idle.begin(), target.idle.end(),
-                                    [&](connection_number each) { return connections_.at(each).values.empty(); });
-    connection_number chosen = *target.idle.begin();
-    if (fitting != target.idle.end()) {
-        chosen = *fitting;
-    } else if (clean != target.idle.end()) {
-        chosen = *clean;
-    }
-    pooled_connection& pooled = connections_.at(chosen);
-    fire(pooled, event::acquire, now);
-    pooled.lost = options.lost;
-    return chosen;
 }
 
 void member_pool::send(connection_number connection, member_query query, exchange hooks)
--- a/src/pool/member_pool_opening.cc
+++ b/src/pool/member_pool_opening.cc
@@ -36,6 +36,7 @@
             .waiting = target.waiting,
             .refused_at = target.refused_at,
             .refusals = target.refusals,
+            .useful = target.pace.ramping() ? std::optional(target.pace.useful_connections()) : std::nullopt,
             .former_until = former_connections_until_};
 }
 
@@ -76,7 +77,7 @@
             continue;
         }
         if (found != members_.end() && needs_connection(found->second)) {
-            open(found->second, now);
+            open(found->second, {}, now);
         }
         if (found != members_.end() && needs_connection(found->second)) {
             each->second = std::max(found->second.next_attempt, now + connection_check_interval);
@@ -87,18 +88,16 @@
     }
 }
 
-void member_pool::open(pooled_member& target, instant now)
+void member_pool::open(pooled_member& target, const std::string& tenant, instant now)
 {
     if (!target.listed || now < target.next_attempt || !may_open(demand(target), now)) {
         return;
     }
-    if (target.pace.ramping() && target.all.size() >= target.pace.useful_connections()) {
-        return;
-    }
     const connection_number number = ++last_connection_;
     pooled_connection& opened = connections_[number];
     opened.number = number;
     opened.member = target.entry->id;
+    opened.tenant = tenant;
     opened.state = program_->initial();
     opened.opened_at = now;
     target.all.insert(number);
@@ -107,16 +106,8 @@
     hooks_.send(open_member_connection{{.connection = number,
                                         .address = target.entry->address,
                                         .service = target.entry->service,
-                                        .member = target.entry->id}});
-}
-
-void member_pool::open_if_none_idle(const std::string& member, std::size_t waiting, instant now)
-{
-    const auto found = members_.find(member);
-    if (found != members_.end() && found->second.idle.empty()) {
-        found->second.waiting = waiting;
-        open(found->second, now);
-    }
+                                        .member = target.entry->id,
+                                        .tenant = tenant}});
 }
 
 void member_pool::arm_surplus_check(pooled_connection& pooled, instant due)
