Start the ramps of members in the pool, and test them with it

The pool starts a ramp when a member that was lost answers again, or is listed as started after the daemon's own start. A pause ends with a tick of its own, so that waiting statements need no other event.

--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -186,8 +186,6 @@
     }
 }
 
-}
-
 void member_pool::send(connection_number connection, member_query query, exchange hooks)
 {
     pooled_connection* pooled = find(connection);
@@ -353,7 +351,7 @@
     const member_reachability after = target.health.reachability();
     const bool was_lost = before == member_reachability::silent || before == member_reachability::down;
     if (was_lost && after == member_reachability::reachable) {
-        start_ramp(target, "recovered", now);
+        start_ramp(target, now);
     }
     if (before != after) {
         hooks_.reachability_changed(target.entry->id, after, now);
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -190,7 +190,7 @@
     [[nodiscard]] connection_demand demand(const pooled_member& target) const;
 
     // Pace (member_pool_pace.cc).
-    void start_ramp(pooled_member& target, const char* reason, instant now);
+    void start_ramp(pooled_member& target, instant now);
     void observe_pace(pooled_member& target, pace_signal signal, duration latency, instant now);
     void resume_paused(instant now);
     [[nodiscard]] pace_reference others_of(const pooled_member& target, instant now) const;
--- a/src/pool/member_pool_events.cc
+++ b/src/pool/member_pool_events.cc
@@ -54,11 +54,11 @@
     target.refusals = 0;
     const member_reachability before = target.health.reachability();
     target.health.answered(now);
-    if (target.has_started) {
-        start_ramp(target, "started", now);
-    }
     fire(*pooled, event::opened, now);
     update_reachability(target, before, now);
+    if (target.has_started) {
+        start_ramp(target, now);
+    }
     hooks_.idle(member, now);
 }
 
--- a/src/pool/member_pool_pace.cc
+++ b/src/pool/member_pool_pace.cc
@@ -1,6 +1,7 @@
 #include "pool/member_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace citronfall {
 namespace {
@@ -43,9 +44,9 @@
 }
 
 /// What was measured before tells nothing of a member that has started or recovered since.
-void member_pool::start_ramp(pooled_member& target, const char* reason, instant now)
+void member_pool::start_ramp(pooled_member& target, instant now)
 {
-    target.has_started = false;
+    const std::string reason = std::exchange(target.has_started, false) ? "started" : "recovered";
     target.latency = {};
     target.pace.begin({.slots = target.entry->slots,
                        .holders = target.holders,
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -96,3 +96,12 @@
     CHECK(choose_member({strained}, first) == std::nullopt);
     CHECK(choose_member({strained, behind}, first) == "a");
 }
+
+TEST_CASE("a member whose pace allows no further statement gets no read", "[placement]")
+{
+    // Guards against reads that flood a member that has just started, as it has nothing else to do.
+    const auto paused = changed(replica("started"), [](auto& fields) { fields.paused = true; });
+    const auto slower = changed(replica("b"), [](auto& fields) { fields.latency = 80ms; });
+    CHECK(choose_member({paused, slower}, first) == "b");
+    CHECK(choose_member({paused}, first) == std::nullopt);
+}
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace citronfall;
@@ -303,3 +305,122 @@
     }
     CHECK(fixture.pool->member("m")->latency.at(now, 20ms) > measured);
 }
+
+namespace {
+
+/// A pool with two members of a service, whose events the test supplies.
+struct ramp_fixture {
+    ramp_fixture()
+    {
+        auto made = member_pool::make({.send = [this](const member_command& command) { commands.push_back(command); },
+                                       .idle = [this](const std::string& member, instant) { idle.push_back(member); },
+                                       .answered = [](const std::string&, const member_reply&, instant, instant) {},
+                                       .reachability_changed = [](const std::string&, member_reachability, instant) {},
+                                       .log =
+                                           [this](const std::string& event, const std::string&) {
+                                               events.push_back(event);
+                                           }},
+                                      5s);
+        REQUIRE(ok(made));
+        pool = take(std::move(made));
+        configure(0, start);
+    }
+
+    /// Lists both members, of which "a" has started at `started_at_ms`, and opens the missing connections.
+    void configure(std::int64_t started_at_ms, instant now)
+    {
+        const auto entry = [](const std::string& id, std::int64_t at) {
+            return member_registration{
+                {.id = id, .service = "s", .address = "127.0.0.1:1", .slots = 4, .started_at_ms = at}};
+        };
+        pool->configure({{"a", entry("a", started_at_ms)}, {"b", entry("b", 0)}},
+                        {{"s", {.limit = 200, .holders = 40, .position = 39}}}, now);
+        pool->tick(now);
+        open_all(now);
+    }
+
+    void open_all(instant now)
+    {
+        for (const member_command& each : std::exchange(commands, {})) {
+            if (const auto* opening = std::get_if<open_member_connection>(&each)) {
+                connections[(*opening)->member] = (*opening)->connection;
+                pool->handle(member_connection_opened{{.connection = (*opening)->connection}}, now);
+            }
+        }
+    }
+
+    /// The connection to a member fails, and the next attempt is refused as its process does not run.
+    void lose(const std::string& member, instant now)
+    {
+        pool->handle(member_connection_closed{{.connection = connections[member], .end = connection_end_reason::reset}},
+                     now);
+        commands.clear();
+        pool->tick(now + 50ms);
+        REQUIRE(commands.size() == 1);
+        pool->handle(member_connection_closed{{.connection = std::get<open_member_connection>(commands[0])->connection,
+                                               .end = connection_end_reason::refused}},
+                     now + 50ms);
+        commands.clear();
+    }
+
+    std::vector<member_command> commands;
+    std::map<std::string, connection_number> connections;
+    std::vector<std::string> idle;
+    std::vector<std::string> events;
+    std::unique_ptr<member_pool> pool;
+};
+
+} // namespace
+
+TEST_CASE("members that a daemon finds at its own start are used without a ramp", "[pool]")
+{
+    // Guards against slow starts of daemons in front of members that have run for long.
+    ramp_fixture fixture;
+    CHECK(fixture.pool->pace_allows("a", false, start));
+    CHECK(fixture.pool->ramps_total() == 0);
+}
+
+TEST_CASE("a member that has started or recovered is used at a pace", "[pool]")
+{
+    // Guards against one statement of each of 40 daemons at once on four slots.
+    ramp_fixture fixture;
+    SECTION("started again")
+    {
+        fixture.lose("a", start + 3s);
+        fixture.configure(1, start + 4s);
+    }
+    SECTION("recovered")
+    {
+        fixture.lose("a", start + 3s);
+        fixture.pool->tick(start + 4s);
+        fixture.open_all(start + 4s);
+    }
+    const instant now = start + 4s;
+    CHECK(fixture.pool->ramps_total() == 1);
+    CHECK(fixture.events.back() == "member_ramp_started");
+    CHECK_FALSE(fixture.pool->pace_allows("a", false, now));
+    CHECK(fixture.pool->pace_allows("a", true, now)); // No other member can serve it.
+    CHECK(fixture.pool->pace_allows("b", false, now));
+    fixture.idle.clear();
+    REQUIRE(fixture.pool->next());
+    const instant resumed = *fixture.pool->next();
+    CHECK(resumed <= now + 1s);
+    fixture.pool->tick(resumed);
+    CHECK(fixture.idle == std::vector<std::string>{"a"}); // Waiting statements are placed without another event.
+    CHECK(fixture.pool->pace_allows("a", false, resumed));
+}
+
+TEST_CASE("a member that recovers takes the work if no other can be reached", "[pool]")
+{
+    // Guards against statements that wait for the pace of the only member that is left.
+    ramp_fixture fixture;
+    fixture.lose("a", start + 3s);
+    fixture.lose("b", start + 3s);
+    fixture.pool->tick(start + 4s);
+    for (const member_command& each : std::exchange(fixture.commands, {})) {
+        if (const auto* opening = std::get_if<open_member_connection>(&each); (*opening)->member == "a") {
+            fixture.pool->handle(member_connection_opened{{.connection = (*opening)->connection}}, start + 4s);
+        }
+    }
+    CHECK(fixture.pool->pace_allows("a", false, start + 4s));
+}
