--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -13,10 +13,11 @@
 /// slot. Without the timeout a lost answer would occupy the connection for ever, and members accept few connections.
 constexpr duration internal_answer_timeout = std::chrono::milliseconds(800);
 
-/// Interval of attempts to open the first connection to a member while the budget does not allow one.
-constexpr duration connection_check_interval = std::chrono::milliseconds(50);
+/// Members that are listed later than this after the first ones have started since.
+constexpr duration first_list_time = std::chrono::seconds(2);
 
 } // namespace
+
 result<std::unique_ptr<member_pool>> member_pool::make(member_pool_hooks hooks, duration draining_grace)
 {
     std::unique_ptr<member_pool> pool(new member_pool(std::move(hooks), draining_grace));
@@ -70,7 +71,7 @@
                  }},
                 {"forget",
                  [](context& each) {
-                     each.pool.forget(each.pooled);
+                     each.pool.forget(each.pooled, each.now);
                  }},
             }};
 }
@@ -88,6 +89,9 @@
         each.listed = entries.contains(id);
     }
     listed_.clear();
+    if (!entries.empty() && !first_members_at_) {
+        first_members_at_ = now;
+    }
     for (const auto& [id, entry] : entries) {
         listed_[entry->service].push_back(id);
         const auto [place, added] = members_.try_emplace(id);
@@ -97,6 +101,7 @@
         if (added || restarted) {
             each.first_seen_at = now;
             each.next_attempt = now;
+            each.has_started = restarted || now - first_members_at_.value_or(now) > first_list_time;
         }
         each.entry = entry;
         if (!entry->draining) {
@@ -111,26 +116,12 @@
         each.limit = share.limit;
         each.holders = std::max<std::size_t>(share.holders, 1);
         each.is_holder = share.is_holder;
+        each.position = share.position;
     }
     std::erase_if(members_, [](const auto& each) { return !each.second.listed && each.second.all.empty(); });
     check_members(now);
 }
 
-/// Makes all decisions due that the new configuration may have changed.
-void member_pool::check_members(instant now)
-{
-    connection_checks_.clear();
-    for (const auto& [id, each] : members_) {
-        if (needs_connection(each)) {
-            connection_checks_[id] = now;
-        }
-        for (const connection_number number : each.idle) {
-            connections_.at(number).surplus_check_armed = false; // A check that is armed may be too late.
-            arm_surplus_check(connections_.at(number), now);
-        }
-    }
-}
-
 void member_pool::erase_unused_member(const std::string& id)
 {
     const auto found = members_.find(id);
@@ -154,6 +145,7 @@
     close_overdue(now);
     close_surplus(now);
     keep_one_open(now);
+    resume_paused(now);
 }
 
 std::optional<instant> member_pool::next() const
@@ -162,6 +154,9 @@
     for (const auto& [id, check] : connection_checks_) {
         due = due ? std::min(*due, check) : check;
     }
+    for (const auto& [id, until] : paused_) {
+        due = due ? std::min(*due, until) : until;
+    }
     return due;
 }
 
@@ -191,87 +186,6 @@
     }
 }
 
-connection_demand member_pool::demand(const pooled_member& target) const
-{
-    return {.limit = target.limit,
-            .daemons = target.holders,
-            .is_holder = target.is_holder,
-            .open = target.all.size(),
-            .opening = target.opening,
-            .waiting = target.waiting,
-            .refused_at = target.refused_at};
-}
-
-/// Closes connections that have been idle for too long, or whose member is no longer registered.
-void member_pool::close_surplus(instant now)
-{
-    while (const auto number = surplus_checks_.pop_due(now)) {
-        pooled_connection* each = find(*number);
-        if (each == nullptr) {
-            continue;
-        }
-        each->surplus_check_armed = false;
-        const pooled_member& target = members_.at(each->member);
-        if (!target.idle.contains(*number)) {
-            continue; // In use; a check is armed when it becomes idle.
-        }
-        const instant due = target.listed ? surplus_check_time(each->idle_since) : now;
-        if (now < due) {
-            arm_surplus_check(*each, due);
-        } else if (!target.listed || should_close(demand(target), each->idle_since, now)) {
-            fire(*each, event::discard, now);
-        }
-    }
-}
-
-/// Whether the member is registered and has no connection, although this daemon keeps connections to it.
-bool member_pool::needs_connection(const pooled_member& target)
-{
-    return target.listed && target.all.empty() && target.is_holder;
-}
-
-void member_pool::keep_one_open(instant now)
-{
-    for (auto each = connection_checks_.begin(); each != connection_checks_.end();) {
-        const auto found = members_.find(each->first);
-        if (now < each->second) {
-            ++each;
-            continue;
-        }
-        if (found != members_.end() && needs_connection(found->second)) {
-            open(found->second, {}, now);
-        }
-        if (found != members_.end() && needs_connection(found->second)) {
-            each->second = std::max(found->second.next_attempt, now + connection_check_interval);
-            ++each;
-        } else {
-            each = connection_checks_.erase(each);
-        }
-    }
-}
-
-void member_pool::open(pooled_member& target, const std::string& tenant, instant now)
-{
-    if (!target.listed || now < target.next_attempt || !may_open(demand(target), now)) {
-        return;
-    }
-    const connection_number number = ++last_connection_;
-    pooled_connection& opened = connections_[number];
-    opened.number = number;
-    opened.member = target.entry->id;
-    opened.tenant = tenant;
-    opened.state = program_->initial();
-    opened.opened_at = now;
-    target.all.insert(number);
-    ++target.opening;
-    ++opened_total_;
-    hooks_.send(open_member_connection{{.connection = number,
-                                        .address = target.entry->address,
-                                        .service = target.entry->service,
-                                        .member = target.entry->id,
-                                        .tenant = tenant}});
-}
-
 void member_pool::send(connection_number connection, member_query query, exchange hooks)
 {
     pooled_connection* pooled = find(connection);
@@ -392,13 +306,6 @@
     }
 }
 
-void member_pool::arm_surplus_check(pooled_connection& pooled, instant due)
-{
-    if (!std::exchange(pooled.surplus_check_armed, true)) {
-        surplus_checks_.arm(due, pooled.number);
-    }
-}
-
 void member_pool::make_idle(pooled_connection& pooled, instant now)
 {
     pooled_member& target = members_.at(pooled.member);
@@ -409,12 +316,16 @@
     arm_surplus_check(pooled, target.listed ? surplus_check_time(now) : now);
 }
 
-void member_pool::forget(pooled_connection& pooled)
+void member_pool::forget(pooled_connection& pooled, instant now)
 {
     pooled_member& target = members_.at(pooled.member);
     for (const exchange& each : pooled.exchanges) {
         target.running -= each.counts_as_load ? 1 : 0;
     }
+    if (std::any_of(pooled.exchanges.begin(), pooled.exchanges.end(),
+                    [](const exchange& each) { return each.counts_as_load; })) {
+        observe_pace(target, pace_signal::unanswered, {}, now);
+    }
     pooled.exchanges.clear();
     target.opening -= pooled.state == program_->initial() ? 1 : 0;
     target.all.erase(pooled.number);
@@ -438,6 +349,10 @@
 void member_pool::update_reachability(pooled_member& target, member_reachability before, instant now)
 {
     const member_reachability after = target.health.reachability();
+    const bool was_lost = before == member_reachability::silent || before == member_reachability::down;
+    if (was_lost && after == member_reachability::reachable) {
+        start_ramp(target, now);
+    }
     if (before != after) {
         hooks_.reachability_changed(target.entry->id, after, now);
     }
