Let reads wait for the leader rather than try replicas that are behind

A read whose daemon had a statement in progress on the leader tried both replicas, spent its attempts there, and was then refused as overloaded.

Change: a replica known to be behind gets a read only if no reachable member holds the position. While only the leader can serve reads, daemons share its slots by their number, with an overlap of a half, instead of one statement each. An expired estimate lets one read at a time find out whether the replica has caught up, and a far one less often. Phases of statements (queued, setup, begin, member, turned_away, run, relayed) are histograms on the metrics address and a log line each five seconds.

--- a/src/deployment/route.h
+++ b/src/deployment/route.h
@@ -15,6 +15,20 @@
     read_your_writes,  ///< As bounded_staleness, plus all commits of the same session.
 };
 
+/// Name for logs and metrics. Thread-safe.
+[[nodiscard]] constexpr const char* read_consistency_name(read_consistency consistency)
+{
+    switch (consistency) {
+    case read_consistency::primary:
+        return "primary";
+    case read_consistency::bounded_staleness:
+        return "bounded_staleness";
+    case read_consistency::read_your_writes:
+        break;
+    }
+    return "read_your_writes";
+}
+
 /// Fields of a route.
 struct route_fields {
     std::string name;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -26,7 +26,8 @@
     std::size_t idle = 0;    ///< Idle connections to it.
     std::size_t running = 0; ///< Statements of this daemon in progress on it.
     std::uint32_t slots = 1;
-    duration latency{}; ///< Estimated response time, including the time queued on the member.
+    std::size_t holders = 1; ///< Daemons that send it statements, including this one.
+    duration latency{};      ///< Estimated response time, including the time queued on the member.
 
     friend auto operator<=>(const placement_candidate_fields&, const placement_candidate_fields&) = default;
 };
@@ -41,9 +42,11 @@
 /// suitable candidate has an idle connection. `random` returns a number below its argument; it breaks ties between
 /// candidates of nearly equal cost, which all daemons would otherwise choose at the same time.
 ///
-/// Meant for many short reads on few slots. The leader keeps capacity for statements that only it can serve, unless the
-/// replicas are behind. Slow members get fewer reads, and draining members only those that no other member can take.
-/// Unreachable members, and members that refused the read, get none. Thread-safe if `random` is.
+/// Meant for many short reads on few slots. The leader keeps capacity for statements that only it can serve; if all
+/// replicas are behind, the daemons share its slots for reads. A read waits for the leader rather than going to a
+/// replica that is known to be behind and would refuse it. Slow members get fewer reads, and draining members only
+/// those that no other member can take. Unreachable members, and members that refused the read, get none. Thread-safe
+/// if `random` is.
 [[nodiscard]] std::optional<std::string> choose_member(const std::vector<placement_candidate>& candidates,
                                                        const std::function<std::uint64_t(std::uint64_t)>& random);
 
--- a/src/dispatch/statement_attempt.cc
+++ b/src/dispatch/statement_attempt.cc
@@ -86,6 +86,7 @@
                                                    " error=" + (*(*reply)->failure)->detail);
         fire(task, event::refused, reply, now);
     } else if (--task.setup_answers_pending == 0) {
+        end_phase(task, statement_phase::setup, now);
         fire(task, event::prepared, nullptr, now);
     }
 }
@@ -150,9 +151,22 @@
     }
     observe_reply(task, *reply, success == event::begun, now);
     const bool begin_failed = success == event::begun && (*reply)->failure;
+    end_answered_phase(task, success, *reply, now);
     fire(task, says_not_run(*reply) || begin_failed ? event::refused : success, reply, now);
 }
 
+/// A refused attempt counts as one phase from its start.
+void statement_dispatcher::end_answered_phase(statement_task& task, event success, const member_reply& reply,
+                                              instant now)
+{
+    if (says_not_run(reply)) {
+        task.phase_since = task.attempt_since;
+        end_phase(task, statement_phase::turned_away, now);
+    } else {
+        end_phase(task, success == event::begun ? statement_phase::begin : statement_phase::member, now);
+    }
+}
+
 /// Updates what is known about the leader and about the member's log.
 void statement_dispatcher::observe_reply(statement_task& task, const member_reply& reply, bool begin, instant now)
 {
@@ -188,6 +202,7 @@
             (task.last_refusal ? std::string(error_row_for((*task.last_refusal)->kind).name) : "connection_state"));
     task.connection = 0;
     task.sent_statement = false;
+    task.phase_since = now;
     // An overloaded member may have a free slot a moment later; other refusals would be repeated.
     const bool busy = task.last_refusal && (*task.last_refusal)->kind == error_kind::overloaded;
     if (!busy) {
--- a/src/dispatch/statement_dispatcher.cc
+++ b/src/dispatch/statement_dispatcher.cc
@@ -118,12 +118,20 @@
     context each{.dispatcher = *this, .task = task, .reply = reply, .now = now};
     task.state = program_->fire(task.state, what, each).state;
     if (!was_final && program_->is_final(task.state)) {
+        hooks_.phase_ended(task.request->matched_route, statement_phase::run, now - task.arrived);
         queues_[task.request->matched_route->service].erase(
             {task.request->matched_route->priority, task.deadline, task.number});
         finished_.push_back(task.number);
     }
 }
 
+/// Reports how long the task's current phase took, and starts the next one.
+void statement_dispatcher::end_phase(statement_task& task, statement_phase phase, instant now)
+{
+    hooks_.phase_ended(task.request->matched_route, phase, now - task.phase_since);
+    task.phase_since = now;
+}
+
 void statement_dispatcher::drop_finished()
 {
     for (const task_number number : std::exchange(finished_, {})) {
@@ -141,6 +149,7 @@
     task.state = program_->initial();
     task.request = request;
     task.arrived = now;
+    task.phase_since = now;
     task.deadline = now + request->matched_route->statement_timeout;
     deadlines_.arm(task.deadline, number);
     const std::string service = request->matched_route->service;
--- a/src/dispatch/statement_dispatcher.h
+++ b/src/dispatch/statement_dispatcher.h
@@ -6,6 +6,7 @@
 #include "core/timer_queue.h"
 #include "dispatch/placement.h"
 #include "dispatch/statement_location.h"
+#include "dispatch/statement_phase.h"
 #include "dispatch/statement_task.h"
 #include "dispatch/wait_policy.h"
 #include "leader/service_state.h"
@@ -34,6 +35,7 @@
         leadership_proved; ///< An answer proved that the member was still the leader after `sent_at`.
     std::function<void(const std::string& service, const std::string& member, instant now)> leadership_refused;
     std::function<void(connection_number, instant)> connection_lost; ///< A connection pinned to a session ended.
+    std::function<void(const route&, statement_phase, duration)> phase_ended;
     std::function<std::uint64_t(std::uint64_t)> random;              ///< Returns a number below its argument.
     std::function<void(const std::string&, const std::string&)> log; ///< Name of the event, and its fields.
 };
@@ -111,6 +113,7 @@
     static chart_bindings<context> bindings();
     void fire(statement_task& task, event what, const member_reply* reply, instant now);
     void drop_finished();
+    void end_phase(statement_task& task, statement_phase phase, instant now);
 
     // Placement (statement_placement.cc).
     [[nodiscard]] bool needs_leader(const statement_task& task, instant now) const;
@@ -135,6 +138,7 @@
     exchange_hook answer_hook(task_number number, event success);
     void on_setup_answer(task_number number, const exchange_outcome& outcome, instant now);
     void on_answer(task_number number, event success, const exchange_outcome& outcome, instant now);
+    void end_answered_phase(statement_task& task, event success, const member_reply& reply, instant now);
     void observe_reply(statement_task& task, const member_reply& reply, bool begin, instant now);
     void requeue(statement_task& task, const member_reply* reply, instant now);
     void deliver(statement_task& task, const member_reply& reply, instant now);
--- a/src/dispatch/statement_placement.cc
+++ b/src/dispatch/statement_placement.cc
@@ -95,6 +95,7 @@
                                             .idle = each.idle.size(),
                                             .running = each.running,
                                             .slots = each.entry->slots,
+                                            .holders = each.holders,
                                             .latency = each.latency.at(now, typical)}});
     }
     return list;
@@ -122,6 +123,7 @@
     }
     task.on_leader = false;
     task.min_position = min_position;
+    hooks_.service(task.request->matched_route->service).replica_lags[*chosen].tried(now);
     start_attempt(task, *chosen, connection, now);
     return true;
 }
@@ -132,6 +134,8 @@
     task.member = member;
     task.connection = connection;
     ++task.attempts;
+    end_phase(task, statement_phase::queued, now);
+    task.attempt_since = now;
     queues_[task.request->matched_route->service].erase(
         {task.request->matched_route->priority, task.deadline, task.number});
     fire(task, event::placed, nullptr, now);
--- a/src/dispatch/statement_task.h
+++ b/src/dispatch/statement_task.h
@@ -94,6 +94,8 @@
     task_request request;
     instant arrived{};
     instant deadline{};
+    instant phase_since{};            ///< Start of the current phase.
+    instant attempt_since{};          ///< Start of the current or last attempt.
     instant not_before{};             ///< Earliest time of the next attempt.
     connection_number connection = 0; ///< 0: none.
     std::string member;               ///< Member of the current or last attempt.
--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -23,7 +23,7 @@
 /// Interval between two snapshots of the metrics.
 constexpr duration metrics_interval = std::chrono::seconds(1);
 
-/// Interval between two log lines about the connections of a member.
+/// Interval between two log lines about the connections of a member, and about the phases of statements.
 constexpr duration connections_log_interval = std::chrono::seconds(5);
 
 /// Age at which confirmed positions are discarded; staleness bounds are a few seconds at most.
@@ -152,6 +152,7 @@
                 log(log_priority::notable, "member_connections", pool_->describe(member));
             }
         }
+        log_phases();
     }
     if (now >= next_metrics_) {
         next_metrics_ = now + metrics_interval;
@@ -488,6 +489,21 @@
     return {.number = number, .asked = asked.size(), .known = others + expired_daemons_.count(service, now)};
 }
 
+void gateway_engine::note_phase(const route& matched_route, statement_phase phase, duration took)
+{
+    phase_totals_.add(matched_route->consistency, phase, took);
+    metrics_.record(std::string("statement_") + statement_phase_name(phase) + "_seconds", matched_route->service,
+                    read_consistency_name(matched_route->consistency), took);
+}
+
+/// Logs how long statements spent in each phase since the last call.
+void gateway_engine::log_phases()
+{
+    for (const std::string& line : std::exchange(phase_totals_, {}).describe()) {
+        log(log_priority::notable, "statement_phases", line);
+    }
+}
+
 void gateway_engine::publish_metrics(instant now)
 {
     options_.publish_report(report(now));
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -8,6 +8,7 @@
 #include "core/timer_queue.h"
 #include "directory/service_directory.h"
 #include "dispatch/statement_dispatcher.h"
+#include "dispatch/statement_phase_totals.h"
 #include "event_log/event_log.h"
 #include "gateway/gateway_event.h"
 #include "gateway/gateway_lifecycle.h"
@@ -119,6 +120,8 @@
     void member_answered(const std::string& member, const member_reply& reply, instant now);
     void reachability_changed(const std::string& member, member_reachability reachability, instant now);
     void tick_services(instant now);
+    void note_phase(const route& matched_route, statement_phase phase, duration took);
+    void log_phases();
     void publish_metrics(instant now);
     [[nodiscard]] reported_service report_service(const std::string& service, instant now) const;
     result<done> add_primary_change(const std::string& service);
@@ -153,6 +156,7 @@
     std::map<std::string, std::unique_ptr<primary_change>> primary_changes_;
     bool leaving_ = false; ///< This daemon has announced its shutdown to its peers.
     metrics_registry metrics_;
+    statement_phase_totals phase_totals_; ///< Since the last log line about them.
     call_number last_call_ = 0;
     std::uint64_t last_suspicion_poll_;
     bool directory_changed_ = false;
--- a/src/gateway/gateway_engine_build.cc
+++ b/src/gateway/gateway_engine_build.cc
@@ -90,6 +90,8 @@
                                                 sessions_->connection_lost(connection, now);
                                             }
                                         },
+                                    .phase_ended = [this](const route& matched_route, statement_phase phase,
+                                                          duration took) { note_phase(matched_route, phase, took); },
                                     .random = options_.random,
                                     .log =
                                         [this](const std::string& event, const std::string& fields) {
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -28,8 +28,11 @@
             },
         .cancel = [this](task_number task, instant now) { dispatcher_->cancel(task, now); },
         .release = [this](connection_number connection, instant now) { pool_->release(connection, now); },
-        .finished = [this](const task_request& request, const task_outcome& outcome,
-                           instant now) { sessions_->finished(request, outcome, now); },
+        .finished =
+            [this](const task_request& request, const task_outcome& outcome, instant now) {
+                note_phase(request->matched_route, statement_phase::relayed, now - outcome->sent_at);
+                sessions_->finished(request, outcome, now);
+            },
         .connection_lost = [this](connection_number connection,
                                   instant now) { sessions_->connection_lost(connection, now); },
         .log =
--- a/src/leader/replica_lag_estimate.cc
+++ b/src/leader/replica_lag_estimate.cc
@@ -9,8 +9,10 @@
 /// single fast answer says little.
 constexpr int decrease_divisor = 4;
 
-/// An estimate that no answer has updated for this long is ignored, so that the member is tried again.
-constexpr duration estimate_lifetime = std::chrono::seconds(1);
+/// An estimate that no answer has updated for this long is ignored, so that the member is tried again. A member that is
+/// far behind needs longer to catch up and is tried less often, as most of these reads are refused.
+constexpr duration min_estimate_lifetime = std::chrono::seconds(1);
+constexpr duration max_estimate_lifetime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -32,12 +34,24 @@
     lag_updated_at_ = now;
 }
 
+void replica_lag_estimate::tried(instant now)
+{
+    if (expired(now)) {
+        lag_updated_at_ = now;
+    }
+}
+
+bool replica_lag_estimate::expired(instant now) const
+{
+    return now - lag_updated_at_ > std::clamp(lag_ / 2, min_estimate_lifetime, max_estimate_lifetime);
+}
+
 bool replica_lag_estimate::likely_holds(const min_read_position& min_position, instant now) const
 {
     if (position_ && *position_ >= min_position->position) {
         return true;
     }
-    if (now - lag_updated_at_ > estimate_lifetime) {
+    if (expired(now)) {
         return true;
     }
     return now - min_position->known_since > lag_;
--- a/src/leader/replica_lag_estimate.h
+++ b/src/leader/replica_lag_estimate.h
@@ -22,6 +22,10 @@
     /// Reports that the member refused a read because it had not reached `min_position`.
     void refused(const min_read_position& min_position, instant now);
 
+    /// Reports that a read was sent to the member. If the estimate has expired, the member counts as lagging as before
+    /// until the answer arrives or the read is overdue, so that one read at a time finds out.
+    void tried(instant now);
+
     /// Whether the member has probably reached `min_position`.
     [[nodiscard]] bool likely_holds(const min_read_position& min_position, instant now) const;
 
@@ -29,6 +33,8 @@
     [[nodiscard]] duration lag() const { return lag_; }
 
 private:
+    [[nodiscard]] bool expired(instant now) const;
+
     std::optional<log_position> position_;
     duration lag_{};
     instant lag_updated_at_{};
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -151,3 +151,21 @@
     CHECK_FALSE(replica.likely_holds(young, start + 2100ms));
     CHECK(replica.likely_holds(young, start + 4s));
 }
+
+TEST_CASE("one read at a time finds out whether a lagging replica has caught up", "[evidence]")
+{
+    // Load: hundreds of reads a second while a replica is seconds behind. Guards against sending it all reads that
+    // arrive until the first of them is refused.
+    replica_lag_estimate replica;
+    replica.refused(min_read_position{{.position = at(1, 5), .known_since = start}}, start + 1500ms);
+    const min_read_position young{{.position = at(1, 6), .known_since = start + 2s}};
+    REQUIRE(replica.likely_holds(young, start + 3s));
+    replica.tried(start + 3s);
+    CHECK_FALSE(replica.likely_holds(young, start + 3s));
+    CHECK(replica.likely_holds(young, start + 5s));
+    // An answer ends the suspicion at once, for what its position covers.
+    position_history log;
+    log.add(observed(0ms, at(1, 8)));
+    replica.answered(at(1, 8), log, start + 3010ms);
+    CHECK(replica.likely_holds(young, start + 3010ms));
+}
--- a/tests/support/gateway_simulation.h
+++ b/tests/support/gateway_simulation.h
@@ -5,6 +5,7 @@
 #include "standin/service_model.h"
 #include "standin/store_model.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,8 @@
         std::uint32_t sync_replicas = 0; ///< In the configuration; the fake members do not wait for replicas.
         std::uint64_t seed = 1;
         bool first_start = false; ///< The daemons start for the first time.
+        std::size_t slots = 0;    ///< Callers' statements that a member runs at once; others queue. 0: any number.
+        duration work = std::chrono::milliseconds(5); ///< Run time of a caller's statement; with slots the mean of it.
     };
 
     /// A reply to a caller and when it was sent.
@@ -139,6 +142,7 @@
     [[nodiscard]] bool stopped(std::size_t daemon) const;
     [[nodiscard]] std::size_t connections_in_use(const std::string& id) const; ///< Open transactions on the member.
     [[nodiscard]] std::size_t runs(const std::string& request_id) const; ///< How many times members ran the request.
+    [[nodiscard]] std::size_t refused_by_members() const { return refused_by_members_; } ///< Callers' statements.
     /// How often an item was written by a commit, and how often such a commit was not lost in a change of primary.
     struct write_count {
         std::size_t made = 0;
@@ -159,11 +163,19 @@
 private:
     struct simulated_daemon;
 
-    /// Faults of the connections to a member.
+    struct queued_query {
+        std::size_t daemon = 0;
+        connection_number connection = 0;
+        member_query query;
+    };
+
+    /// Faults of the connections to a member, and the use of its slots.
     struct member_faults {
         bool silenced = false;
         std::size_t answers_to_lose = 0;
         std::size_t statements_to_refuse = 0; ///< Refused for lack of a free slot.
+        std::size_t running = 0;              ///< Callers' statements that occupy a slot.
+        std::deque<queued_query> queue{};     ///< Callers' statements that wait for a slot.
     };
 
     [[nodiscard]] duration delivery_delay(const std::string& connection);
@@ -179,6 +191,9 @@
     void open_connection(std::size_t daemon, const open_member_connection& command);
     void run_query(std::size_t daemon, connection_number connection, const member_query& query);
     void answer_query(std::size_t daemon, connection_number connection, const member_query& query);
+    void refuse_query(std::size_t daemon, connection_number connection);
+    void run_in_slot(const std::string& member, const queued_query& next);
+    [[nodiscard]] duration next_work();
     [[nodiscard]] bool is_cut_off(std::size_t daemon, const std::string& member) const;
     void perform(std::size_t daemon, const store_call& call);
     void handle(std::size_t daemon, const gateway_event& event);
@@ -195,6 +210,10 @@
     std::uint32_t max_connections_;
     std::uint32_t sync_replicas_;
     bool first_start_;
+    std::size_t slots_;
+    duration work_;
+    std::uint64_t work_random_state_;
+    std::size_t refused_by_members_ = 0;
     std::size_t store_calls_ = 0;
     std::size_t cheap_store_calls_ = 0;
     session_number last_session_ = 0;
--- a/tools/standin/service_model.h
+++ b/tools/standin/service_model.h
@@ -90,6 +90,11 @@
     /// the leader with an empty transaction.
     [[nodiscard]] std::size_t open_transactions(const std::string& member, instant now) const;
     [[nodiscard]] log_position committed() const { return committed_; }
+    /// Position up to which a member has received the log.
+    [[nodiscard]] log_position received_by(const std::string& member, instant now) const
+    {
+        return received_position(members_.at(member), now);
+    }
     [[nodiscard]] const std::vector<log_entry>& log() const { return log_; }
     [[nodiscard]] const std::vector<statement_run>& runs() const { return runs_; }
     [[nodiscard]] const std::vector<std::string>& promotions() const { return promotions_; }
