--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -8,6 +8,7 @@
 #include "core/timer_queue.h"
 #include "directory/service_directory.h"
 #include "dispatch/statement_dispatcher.h"
+#include "dispatch/statement_phase_totals.h"
 #include "event_log/event_log.h"
 #include "gateway/daemon_start.h"
 #include "gateway/gateway_event.h"
@@ -156,6 +157,8 @@
     void member_answered(const std::string& member, const member_reply& reply, instant now);
     void reachability_changed(const std::string& member, member_reachability reachability, instant now);
     void tick_services(instant now);
+    void note_phase(const route& matched_route, statement_phase phase, duration took);
+    void log_phases();
     void publish_metrics(instant now);
     [[nodiscard]] reported_service report_service(const std::string& service, instant now) const;
     result<done> add_primary_change(const std::string& service);
@@ -204,6 +207,7 @@
     task_number last_quota_operation_ = 0;
     bool leaving_ = false; ///< This daemon has announced its shutdown to its peers.
     metrics_registry metrics_;
+    statement_phase_totals phase_totals_; ///< Since the last log line about them.
     call_number last_call_ = 0;
     std::uint64_t last_suspicion_poll_;
     std::shared_ptr<const service_configuration> published_configuration_;
--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -31,6 +31,7 @@
         .finished =
             [this](const task_request& request, const task_outcome& outcome, instant now) {
                 note_quota_outcome(request, outcome, now);
+                note_phase(request->matched_route, statement_phase::relayed, now - outcome->sent_at);
                 sessions_->finished(request, outcome, now);
             },
         .connection_lost = [this](connection_number connection,
