--- a/tools/soak/child_process.h
+++ b/tools/soak/child_process.h
@@ -27,6 +27,9 @@
     /// Exit status of the process, or 128 plus the number of the signal that ended it; nothing while it runs.
     std::optional<int> ended();
 
+    /// Id of the process, for a look at what the system says of it. Meaningless once ended() has returned a status.
+    [[nodiscard]] pid_t id() const { return process_; }
+
 private:
     pid_t process_ = -1;
     std::optional<int> status_;
