--- a/src/core/ring_producer.h
+++ b/src/core/ring_producer.h
@@ -18,8 +18,9 @@
     /// Appends an element, after those in the overflow queue.
     void push(T element)
     {
-        overflow_.push_back(std::move(element));
-        flush();
+        if (!flush() || !ring_.try_move(element)) {
+            overflow_.push_back(std::move(element));
+        }
     }
 
     /// Appends an element unless others wait in the overflow queue or the ring is full. Returns whether it was added.
@@ -28,7 +29,7 @@
     /// Moves elements from the overflow queue into the ring while it has space. Returns whether the queue is empty.
     bool flush()
     {
-        while (!overflow_.empty() && ring_.try_push(overflow_.front())) {
+        while (!overflow_.empty() && ring_.try_move(overflow_.front())) {
             overflow_.pop_front();
         }
         return overflow_.empty();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "citronfall/instant.h"
 #include "registration/daemon_capacity.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -29,6 +30,7 @@
     duration grace = std::chrono::seconds(6);              ///< From the termination signal until the process is killed.
     duration config_apply_bound = std::chrono::seconds(3); ///< Time in which a new configuration must take effect.
     std::uint32_t max_descriptors = 1024;
+    std::size_t memory_mb = 512;                      ///< Memory that the process may use, in MiB.
     double processor_cores = default_processor_cores; ///< Processor time that the instance may use, in cores.
     double link_mbps = default_link_mbps;             ///< Bandwidth of the instance's link.
 
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -56,6 +56,28 @@
     CHECK(names.size() == error_kind_count);
 }
 
+TEST_CASE("a ring is bounded in bytes, and an element without bytes passes", "[core]")
+{
+    // Guards against a ring of few long elements that takes more memory than planned, and against one whose bound keeps
+    // out the events that make it empty again.
+    bounded_ring<std::string> ring(
+        {.capacity = 8, .size_of = [](const std::string& each) { return each.size(); }, .max_bytes = 10});
+    CHECK(ring.try_push(std::string(20, 'x'))); // Longer than the bound, and alone.
+    CHECK_FALSE(ring.try_push("y"));
+    CHECK(ring.try_push(""));
+    CHECK(ring.bytes() == 20);
+    CHECK(ring.try_pop()->size() == 20);
+    CHECK(ring.try_push(std::string(6, 'x')));
+    std::string refused(5, 'z');
+    CHECK_FALSE(ring.try_move(refused));
+    CHECK(refused.size() == 5);
+    CHECK(ring.try_push(std::string(4, 'x')));
+    CHECK(ring.bytes() == 10);
+    while (ring.try_pop()) {
+    }
+    CHECK(ring.bytes() == 0);
+}
+
 TEST_CASE("a full ring rejects elements and a closed ring can be drained", "[core]")
 {
     bounded_ring<int> ring({.capacity = 2});
--- a/tools/standin/settings_text.cc
+++ b/tools/standin/settings_text.cc
@@ -19,7 +19,7 @@
          {{"drain_ms", ms(settings->drain_bound)},
           {"grace_s", ms(settings->grace) / 1000},
           {"apply_ms", ms(settings->config_apply_bound)}}},
-        {"limits", {{"descriptors", settings->max_descriptors}}}};
+        {"limits", {{"descriptors", settings->max_descriptors}, {"memory_mb", settings->memory_mb}}}};
     if (!settings->metrics.empty()) {
         text["metrics"] = {{"address", settings->metrics}};
     }
