Send long messages between daemons in pieces, and bound what peers may make this daemon hold

A message over 64 KiB now goes in pieces, of which one is in the socket at a time and between which other messages pass. A long answer without room fails alone, a long statement is answered as not run, and one that runs for another daemon counts against a limit. Incomplete messages are charged; the longest is dropped beyond the limit.

A peer that takes no byte for 2 s while messages wait is disconnected (`overloaded`).

--- a/src/gateway/gateway_engine_relay.cc
+++ b/src/gateway/gateway_engine_relay.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway_engine.h"
 
+#include "overload/memory_plan.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -32,10 +34,9 @@
                            instant now) { sessions_->finished(request, outcome, now); },
         .connection_lost = [this](connection_number connection,
                                   instant now) { sessions_->connection_lost(connection, now); },
-        .log =
-            [this](const std::string& event, const std::string& fields) {
-                log(log_priority::routine, event, fields);
-            }};
+        .log = [this](const std::string& event,
+                      const std::string& fields) { log(log_priority::routine, event, fields); },
+        .max_running_bytes = plan_memory(options_.settings->memory_mb)->peer_input};
     statement_relay_ = std::make_unique<statement_relay>(std::move(hooks), options_.incarnation);
 }
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -373,7 +373,7 @@
 {
     const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
-    if (bytes.size() > max_frame_bytes || !wire::Verifypeer_messageBuffer(verifier)) {
+    if (!wire::Verifypeer_messageBuffer(verifier)) {
         return error{{.kind = error_kind::bad_request, .detail = "the peer frame is not a valid message"}};
     }
     const auto* root = wire::Getpeer_message(data);
--- a/src/peer/peer_codec.h
+++ b/src/peer/peer_codec.h
@@ -13,7 +13,7 @@
 /// Encodes and decodes peer messages as FlatBuffers (schema/peer.fbs).
 class peer_codec {
 public:
-    /// Maximum length of an encoded message in bytes.
+    /// Maximum length of a frame in bytes; a longer message goes in several.
     static constexpr std::size_t max_frame_bytes = 1024 * 1024;
 
     /// Encodes a message, without a length prefix. Thread-safe.
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -34,18 +34,27 @@
     /// A connection is closed if no frame arrives for this long. The kernel notices sooner that an instance is gone;
     /// this is for a process that stands still.
     duration receive_timeout = std::chrono::seconds(30);
-    failure_hook failed{}; ///< Reports an unexpected exception.
+    /// Time for a peer to send its hello, which it does with its first packet.
+    duration first_frame_timeout = std::chrono::seconds(5);
+    /// A connection is closed if the peer takes none of the waiting bytes for this long. A piece of a message takes 0.3
+    /// s on a link of 2 Mbit/s.
+    duration send_timeout = std::chrono::seconds(2);
+    std::size_t max_input_bytes = 64 * 1024 * 1024;  ///< Memory for messages that are incomplete; one may take half.
+    std::size_t max_output_bytes = 16 * 1024 * 1024; ///< Memory for long messages that peers have not taken.
+    std::function<std::size_t(const peer_service_command&)> size_of{}; ///< Size of a command in its ring.
+    failure_hook failed{};                                             ///< Reports an unexpected exception.
 };
 
-/// Network connections to other daemons. A frame is a 4-byte little-endian length followed by a FlatBuffers message.
+/// Network connections to other daemons. A frame is a header (peer_frame.h) followed by a FlatBuffers message, or by a
+/// piece of one that is longer than 64 KiB. Other messages are sent between its pieces.
 ///
 /// The service connects to the pinned daemons, and to chosen ones while it has fewer than `max_neighbours` neighbours.
 /// It reconnects with exponential backoff from `reconnect_min` to `reconnect_max` and random jitter. The first frame in
 /// each direction is a hello. A frame that is too long, malformed or unexpected closes the connection and is counted.
-/// Relayed work for a peer that reads too slowly closes the connection as well; other messages for it are dropped.
-/// Several connections between two daemons are treated as one: `connected` is reported for the first, `disconnected`
-/// after the last or when a new run of the daemon connects. Each side states its receive timeout in the hello, and the
-/// other sends keepalives that suit it.
+/// Relayed work for a peer that reads too slowly closes the connection as well; other messages for it are dropped. A
+/// long statement or answer for which there is no room fails alone. Several connections between two daemons are treated
+/// as one: `connected` is reported for the first, `disconnected` after the last or when a new run of the daemon
+/// connects. Each side states its receive timeout in the hello, and the other sends keepalives that suit it.
 ///
 /// run() is the body of the peer thread; the other methods are thread-safe.
 class peer_service {
--- a/src/relay/statement_relay.cc
+++ b/src/relay/statement_relay.cc
@@ -23,6 +23,9 @@
 /// limit; its message is held back for 1.3 s at most before the connection is taken for lost.
 constexpr duration overdue_end_allowance = std::chrono::seconds(3);
 
+/// A shorter statement is not worth a look at the memory that the others take.
+constexpr std::size_t min_counted_bytes = 16 * 1024;
+
 /// The error that the caller gets if the peer is lost while it runs the statement.
 error_kind loss_error_kind(const task_request& request)
 {
@@ -134,10 +137,13 @@
 void statement_relay::handle(const std::string& peer, const relayed_statement& statement, instant now)
 {
     if (!hooks_.accepts() && statement->request->kind != transaction_step::in_transaction) {
-        hooks_.send(peer,
-                    relayed_outcome{{.number = statement->number,
-                                     .outcome = task_outcome{{.failure = error{{.kind = error_kind::leaving}},
-                                                              .state = state_after_failure(statement->request)}}}});
+        refuse(peer, statement, error_kind::leaving);
+        return;
+    }
+    const std::size_t bytes = statement->request->query->text.size();
+    if (!has_room(bytes)) {
+        handle(peer, relayed_end{{.transaction = statement->transaction}}, now);
+        refuse(peer, statement, error_kind::overloaded);
         return;
     }
     const session_number session = first_relay_number + ++last_number_;
@@ -156,7 +162,8 @@
         hooks_.log("relayed_transaction_unknown",
                    log_fields(peer, statement->transaction) + " id=" + statement->request->request_id);
     }
-    running_[session] = {.peer = peer, .number = statement->number, .transaction = owned ? statement->transaction : 0};
+    running_[session] = {
+        .peer = peer, .number = statement->number, .transaction = owned ? statement->transaction : 0, .bytes = bytes};
     if (owned) {
         idle_transactions_.erase(open); // finished() adds it again.
     }
@@ -166,6 +173,25 @@
     }
 }
 
+/// Whether the statements that run for other daemons leave room for a long one. A short one is always run.
+bool statement_relay::has_room(std::size_t bytes) const
+{
+    if (bytes < min_counted_bytes) {
+        return true;
+    }
+    for (const auto& [session, each] : running_) {
+        bytes += each.bytes;
+    }
+    return bytes <= hooks_.max_running_bytes;
+}
+
+void statement_relay::refuse(const std::string& peer, const relayed_statement& statement, error_kind kind)
+{
+    hooks_.send(peer, relayed_outcome{{.number = statement->number,
+                                       .outcome = task_outcome{{.failure = error{{.kind = kind}},
+                                                                .state = state_after_failure(statement->request)}}}});
+}
+
 void statement_relay::finished(const task_request& request, const task_outcome& outcome, instant now)
 {
     const auto found = running_.find(request->session);
--- a/src/relay/statement_relay.h
+++ b/src/relay/statement_relay.h
@@ -28,6 +28,7 @@
         finished;                                                    ///< Result of a statement sent to a peer.
     std::function<void(connection_number, instant)> connection_lost; ///< A remote transaction ended unexpectedly.
     std::function<void(const std::string&, const std::string&)> log; ///< Event name, fields.
+    std::size_t max_running_bytes = 16 * 1024 * 1024;                ///< Texts of statements run for other daemons.
 };
 
 /// Relays statements from daemons that hold no connections to a service's members to daemons that hold some. Used for
@@ -114,6 +115,7 @@
         std::uint64_t number = 0;
         task_number task = 0;
         std::uint64_t transaction = 0; ///< Name of the transaction that it continues; 0: none.
+        std::size_t bytes = 0;         ///< Size of its text.
     };
     /// Transaction of a peer that is open on a connection of this daemon and runs no statement.
     struct idle_transaction {
@@ -129,6 +131,8 @@
     void forget_sent(task_number number);
     void remove_pending(const std::string& peer);
     bool send_elsewhere(task_number number, const std::string& refused_by, instant now);
+    [[nodiscard]] bool has_room(std::size_t bytes) const;
+    void refuse(const std::string& peer, const relayed_statement& statement, error_kind kind);
     [[nodiscard]] idle_transactions take(const std::function<bool(const idle_transaction&)>& is_taken);
     void end_all(const idle_transactions& ended, const char* reason, instant now);
     sent_statement give_up(task_number number, const char* reason);
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -323,6 +323,85 @@
     CHECK(subject.service.counters().at("peer_messages_dropped_total") > 0);
 }
 
+// Guards against an answer over one frame that is dropped without telling either side (review/2).
+TEST_CASE("messages over one frame arrive in pieces, between which others are sent", "[peer]")
+{
+    const std::string one = standin::free_address();
+    running_peer first("one", one, {});
+    running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}});
+    REQUIRE(first.wait(peer_event_kind::connected));
+    REQUIRE(second.wait(peer_event_kind::connected));
+    const std::vector<std::string> rows(5, std::string(peer_codec::max_frame_bytes, 'x'));
+    const relayed_outcome long_answer{{.number = 1, .outcome = task_outcome{{.rows = rows}}}};
+    const relayed_outcome short_answer{{.number = 2}};
+    REQUIRE(first.service.commands().push(outgoing_peer_message{{.to = "two", .message = long_answer}}));
+    REQUIRE(first.service.commands().push(outgoing_peer_message{{.to = "two", .message = short_answer}}));
+    const auto next = second.wait(peer_event_kind::received);
+    REQUIRE(next);
+    CHECK((*next)->message == peer_message{short_answer});
+    const auto last = second.wait(peer_event_kind::received);
+    REQUIRE(last);
+    CHECK((*last)->message == peer_message{long_answer});
+    CHECK(second.service.counters().at("held_bytes{part=\"peer_input\"}") == 0);
+}
+
+// Guards against an answer without room that ends all that is relayed over the connection.
+TEST_CASE("a long answer without room fails alone", "[peer]")
+{
+    const std::string one = standin::free_address();
+    running_peer first({.self = peer_hello{{.daemon = "one"}}, .listen = one, .max_output_bytes = 1024 * 1024});
+    running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}});
+    REQUIRE(first.wait(peer_event_kind::connected));
+    const relayed_outcome long_answer{
+        {.number = 7, .outcome = task_outcome{{.rows = {std::string(2 * 1024 * 1024, 'x')}}}, .transaction = 4}};
+    REQUIRE(first.service.commands().push(outgoing_peer_message{{.to = "two", .message = long_answer}}));
+    const auto received = second.wait(peer_event_kind::received);
+    REQUIRE(received);
+    const auto& outcome = std::get<relayed_outcome>((*received)->message);
+    CHECK(outcome->number == 7);
+    CHECK(outcome->transaction == 4);
+    REQUIRE(outcome->outcome->failure);
+    CHECK((*outcome->outcome->failure)->kind == error_kind::statement_failed);
+}
+
+// Guards against an answer that takes the memory of the daemon that asked for it.
+TEST_CASE("a message over the memory for incomplete ones is dropped, and the connection stays", "[peer]")
+{
+    const std::string one = standin::free_address();
+    running_peer first("one", one, {});
+    running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}, .max_input_bytes = 1024 * 1024});
+    REQUIRE(first.wait(peer_event_kind::connected));
+    const relayed_outcome long_answer{
+        {.number = 1, .outcome = task_outcome{{.rows = {std::string(2 * 1024 * 1024, 'x')}}}}};
+    REQUIRE(first.service.commands().push(outgoing_peer_message{{.to = "two", .message = long_answer}}));
+    const relayed_outcome later{{.number = 2, .outcome = task_outcome{{.rows = {std::string(100'000, 'y')}}}}};
+    REQUIRE(first.service.commands().push(outgoing_peer_message{{.to = "two", .message = later}}));
+    const auto received = second.wait(peer_event_kind::received);
+    REQUIRE(received);
+    CHECK((*received)->message == peer_message{later});
+    CHECK(second.service.counters().at("peer_messages_dropped_total") == 1);
+}
+
+// Guards against a statement that its caller could send and that no daemon passes on.
+TEST_CASE("a statement without room is answered as not run", "[peer]")
+{
+    const std::string one = standin::free_address();
+    running_peer first({.self = peer_hello{{.daemon = "one"}}, .listen = one, .max_output_bytes = 1024 * 1024});
+    running_peer second({.self = peer_hello{{.daemon = "two"}}, .seeds = {one}});
+    REQUIRE(first.wait(peer_event_kind::connected));
+    const relayed_statement statement{
+        {.number = 9,
+         .request = task_request{
+             {.query = parsed_statement{{.verb = statement_verb::read, .text = std::string(2 * 1024 * 1024, 'x')}}}}}};
+    REQUIRE(first.service.commands().push(outgoing_peer_message{{.to = "two", .message = statement}}));
+    const auto received = first.wait(peer_event_kind::received);
+    REQUIRE(received);
+    const auto& outcome = std::get<relayed_outcome>((*received)->message);
+    CHECK(outcome->number == 9);
+    REQUIRE(outcome->outcome->failure);
+    CHECK((*outcome->outcome->failure)->kind == error_kind::overloaded);
+}
+
 // Guards against statements and transactions of a former run of a peer that are taken for those of its new run.
 TEST_CASE("a restarted peer is reported as lost before its new run is connected", "[peer]")
 {
