Send messages in pieces only to daemons that accept them

A daemon of the former release closes a connection on which a piece comes. The hello says that its sender accepts pieces; to others a message goes in one frame if it fits, as before.

--- a/include/citronfall/peer_hello.h
+++ b/include/citronfall/peer_hello.h
@@ -15,6 +15,7 @@
     std::uint64_t incarnation = 0; ///< Distinguishes runs of the same daemon.
     /// The sender closes the connection if no frame arrives for this long.
     duration receive_timeout = std::chrono::seconds(5);
+    bool accepts_pieces = false; ///< The sender accepts messages in pieces; former releases do not.
 
     friend auto operator<=>(const peer_hello_fields&, const peer_hello_fields&) = default;
 };
--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -294,7 +294,8 @@
     VT_REGION = 6,
     VT_DATA_CENTER = 8,
     VT_INCARNATION = 10,
-    VT_RECEIVE_TIMEOUT_MS = 12
+    VT_RECEIVE_TIMEOUT_MS = 12,
+    VT_ACCEPTS_PIECES = 14
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -311,6 +312,9 @@
   uint32_t receive_timeout_ms() const {
     return GetField<uint32_t>(VT_RECEIVE_TIMEOUT_MS, 5000);
   }
+  bool accepts_pieces() const {
+    return GetField<uint8_t>(VT_ACCEPTS_PIECES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -321,6 +325,7 @@
            verifier.VerifyString(data_center()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint32_t>(verifier, VT_RECEIVE_TIMEOUT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_PIECES, 1) &&
            verifier.EndTable();
   }
 };
@@ -344,6 +349,9 @@
   void add_receive_timeout_ms(uint32_t receive_timeout_ms) {
     fbb_.AddElement<uint32_t>(hello::VT_RECEIVE_TIMEOUT_MS, receive_timeout_ms, 5000);
   }
+  void add_accepts_pieces(bool accepts_pieces) {
+    fbb_.AddElement<uint8_t>(hello::VT_ACCEPTS_PIECES, static_cast<uint8_t>(accepts_pieces), 0);
+  }
   explicit helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -361,13 +369,15 @@
     flatbuffers::Offset<flatbuffers::String> region = 0,
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
     uint64_t incarnation = 0,
-    uint32_t receive_timeout_ms = 5000) {
+    uint32_t receive_timeout_ms = 5000,
+    bool accepts_pieces = false) {
   helloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_receive_timeout_ms(receive_timeout_ms);
   builder_.add_data_center(data_center);
   builder_.add_region(region);
   builder_.add_daemon(daemon);
+  builder_.add_accepts_pieces(accepts_pieces);
   return builder_.Finish();
 }
 
@@ -377,7 +387,8 @@
     const char *region = nullptr,
     const char *data_center = nullptr,
     uint64_t incarnation = 0,
-    uint32_t receive_timeout_ms = 5000) {
+    uint32_t receive_timeout_ms = 5000,
+    bool accepts_pieces = false) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
@@ -387,7 +398,8 @@
       region__,
       data_center__,
       incarnation,
-      receive_timeout_ms);
+      receive_timeout_ms,
+      accepts_pieces);
 }
 
 struct digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -53,7 +53,7 @@
 {
     return {wire::body::hello,
             wire::CreatehelloDirect(out, value->daemon.c_str(), value->region.c_str(), value->data_center.c_str(),
-                                    value->incarnation, whole_ms(value->receive_timeout))
+                                    value->incarnation, whole_ms(value->receive_timeout), value->accepts_pieces)
                 .Union()};
 }
 
@@ -285,7 +285,8 @@
                        .region = text(source.region()),
                        .data_center = text(source.data_center()),
                        .incarnation = source.incarnation(),
-                       .receive_timeout = std::chrono::milliseconds(source.receive_timeout_ms())}};
+                       .receive_timeout = std::chrono::milliseconds(source.receive_timeout_ms()),
+                       .accepts_pieces = source.accepts_pieces()}};
 }
 
 std::optional<peer_message> read_body(const wire::peer_message& source)
--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -89,11 +89,12 @@
 
 bool peer_connection::send(const std::string& body)
 {
-    const bool too_slow = !is_long(body) && queued_bytes_ + body.size() > max_queued_bytes;
-    if (closed_ || too_slow) {
+    const bool in_pieces = sends_pieces_ && is_long(body);
+    const bool fits = body.size() <= peer_codec::max_frame_bytes && queued_bytes_ + body.size() <= max_queued_bytes;
+    if (closed_ || !(in_pieces || fits)) {
         return false;
     }
-    if (is_long(body)) {
+    if (in_pieces) {
         long_messages_.push_back(body);
         long_bytes_ += body.size();
     } else {
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -63,6 +63,9 @@
     /// Accepts frames of any legal length. Until then a frame has room for the first message of a daemon only.
     void accept_all_frames() { accepts_all_frames_ = true; }
 
+    /// Sets whether the peer accepts messages in pieces. If not, a long message goes in one frame if it fits.
+    void send_in_pieces(bool accepted) { sends_pieces_ = accepted; }
+
     /// Drops the message that is arriving in pieces, now and until its end.
     void drop_pieces();
 
@@ -112,6 +115,7 @@
     boost::asio::steady_timer::time_point received_at_;
     boost::asio::steady_timer::time_point sent_at_;
     bool accepts_all_frames_ = false;
+    bool sends_pieces_ = false;
     bool drops_pieces_ = false;
     bool connected_ = false;
     bool waits_to_write_ = false;
--- a/src/peer/peer_service_impl.h
+++ b/src/peer/peer_service_impl.h
@@ -48,8 +48,10 @@
                      .size_of = options_.size_of}),
           input_(options_.max_input_bytes)
     {
-        options_.self = peer_hello{with(
-            options_.self, [this](peer_hello_fields& fields) { fields.receive_timeout = options_.receive_timeout; })};
+        options_.self = peer_hello{with(options_.self, [this](peer_hello_fields& fields) {
+            fields.receive_timeout = options_.receive_timeout;
+            fields.accepts_pieces = true;
+        })};
         for (const std::string& seed : options_.seeds) {
             candidates_[seed];
         }
--- a/src/peer/peer_service_links.cc
+++ b/src/peer/peer_service_links.cc
@@ -136,6 +136,7 @@
     close_links_of_former_run(hello);
     greeted_link.connection->set_keepalive_interval(keepalive_interval_for(hello->receive_timeout));
     greeted_link.connection->accept_all_frames();
+    greeted_link.connection->send_in_pieces(hello->accepts_pieces);
     greeted_link.daemon = hello->daemon;
     greeted_link.incarnation = hello->incarnation;
     if (const auto found = candidates_.find(greeted_link.address); found != candidates_.end()) {
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -148,6 +148,8 @@
         REQUIRE(ok(read));
         CHECK(value_of(read) == each);
     }
+    const peer_message accepting = peer_hello{{.daemon = "d", .receive_timeout = 3s, .accepts_pieces = true}};
+    CHECK(value_of(peer_codec::decode(peer_codec::encode(accepting))) == accepting);
 }
 
 TEST_CASE("messages of a release without eras are read as of no era", "[peer]")
@@ -290,6 +292,7 @@
     const auto read = peer_codec::decode({reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()});
     REQUIRE(ok(read));
     CHECK(std::get<peer_hello>(value_of(read))->receive_timeout == 5s);
+    CHECK_FALSE(std::get<peer_hello>(value_of(read))->accepts_pieces);
 }
 
 // Guards against keepalives that wake the decision thread.
@@ -345,6 +348,27 @@
     CHECK(second.service.counters().at("held_bytes{part=\"peer_input\"}") == 0);
 }
 
+// Guards against frames that daemons of the former release take for an error.
+TEST_CASE("a peer that does not accept pieces gets a long message in one frame", "[peer]")
+{
+    const std::uint16_t port = standin::free_port();
+    running_peer subject("one", "127.0.0.1:" + std::to_string(port), {});
+    boost::asio::io_context context;
+    auto socket = connect_as(context, port, peer_hello{{.daemon = "two"}});
+    REQUIRE(subject.wait(peer_event_kind::connected));
+    const relayed_outcome answer{{.number = 1, .outcome = task_outcome{{.rows = {std::string(200'000, 'x')}}}}};
+    REQUIRE(subject.service.commands().push(outgoing_peer_message{{.to = "two", .message = answer}}));
+    const std::string expected = framed(peer_codec::encode(answer));
+    std::string received;
+    boost::system::error_code code;
+    while (!code && received.find(expected) == std::string::npos) {
+        std::string part(64 * 1024, '\0');
+        part.resize(socket.read_some(boost::asio::buffer(part), code));
+        received += part;
+    }
+    CHECK_FALSE(code);
+}
+
 // Guards against an answer without room that ends all that is relayed over the connection.
 TEST_CASE("a long answer without room fails alone", "[peer]")
 {
