--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "citronfall/instant.h"
 #include "registration/daemon_capacity.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -32,6 +33,7 @@
     double quota_overage = 0;                              ///< Fraction by which a window may exceed a quota.
     double quota_slack = 0;                                ///< Operations by which a window may exceed a quota as well.
     std::uint32_t max_descriptors = 1024;
+    std::size_t memory_mb = 512;                      ///< Memory that the process may use, in MiB.
     double processor_cores = default_processor_cores; ///< Processor time that the instance may use, in cores.
     double link_mbps = default_link_mbps;             ///< Bandwidth of the instance's link.
 
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -58,7 +58,7 @@
 {
     return {wire::body::hello,
             wire::CreatehelloDirect(out, value->daemon.c_str(), value->region.c_str(), value->data_center.c_str(),
-                                    value->incarnation, whole_ms(value->receive_timeout))
+                                    value->incarnation, whole_ms(value->receive_timeout), value->accepts_pieces)
                 .Union()};
 }
 
@@ -344,7 +344,8 @@
                        .region = text(source.region()),
                        .data_center = text(source.data_center()),
                        .incarnation = source.incarnation(),
-                       .receive_timeout = std::chrono::milliseconds(source.receive_timeout_ms())}};
+                       .receive_timeout = std::chrono::milliseconds(source.receive_timeout_ms()),
+                       .accepts_pieces = source.accepts_pieces()}};
 }
 
 peer_message read_quota_request(const wire::quota_request& source)
@@ -465,7 +466,7 @@
 {
     const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
-    if (bytes.size() > max_frame_bytes || !wire::Verifypeer_messageBuffer(verifier)) {
+    if (!wire::Verifypeer_messageBuffer(verifier)) {
         return error{{.kind = error_kind::bad_request, .detail = "the peer frame is not a valid message"}};
     }
     const auto* root = wire::Getpeer_message(data);
