--- a/src/gateway/gateway_engine.cc
+++ b/src/gateway/gateway_engine.cc
@@ -181,7 +181,7 @@
 {
     dispatcher_->report(now);
     finish_quota_work(now);
-    start_->update({.configured = directory_->configuration().has_value(), .listed = replica_->has_daemons()}, now);
+    start_->update({.configured = directory_->configuration() != nullptr, .listed = replica_->has_daemons()}, now);
     if (std::exchange(directory_changed_, false)) {
         reconfigure(now);
         dispatcher_->report(now);
