--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -437,6 +437,28 @@
     CHECK(gate->admit("t", 3, begin + quota_grant_lifetime)->decision == quota_decision::waiting);
 }
 
+TEST_CASE("what was granted ahead lapses", "[quota]")
+{
+    // Guards against daemons that save up grants and use them at once, in the same window as what is granted then.
+    std::vector<quota_request> sent;
+    auto made = quota_gate::make({.daemon = "a",
+                                  .rule = quota_rule{},
+                                  .holder = [](std::uint32_t) { return std::string("b"); },
+                                  .send = [&](const std::string&, const quota_request& each) { sent.push_back(each); },
+                                  .decided =
+                                      [](quota_operation_number, const quota_admission&) {
+                                      }});
+    const auto gate = take(std::move(made));
+    const instant begin{1000s};
+    gate->configure(1, {{"t", quota_limit{{.rate_per_s = 50, .burst = 50}}}}, 0, begin);
+    REQUIRE(gate->admit("t", 1, begin)->decision == quota_decision::waiting);
+    gate->flush(begin);
+    const quota_allowance allowance{{.tenant = "t", .part = sent.at(0)->demands[0]->part, .granted = 4}};
+    gate->handle(quota_grant{{.number = sent[0]->number, .allowances = {allowance}}}, begin + 100ms);
+    CHECK(gate->admit("t", 2, begin + 499ms)->decision == quota_decision::admitted);
+    CHECK(gate->admit("t", 3, begin + 500ms)->decision == quota_decision::waiting);
+}
+
 TEST_CASE("a daemon that does not hold a part grants nothing of it", "[quota]")
 {
     // Guards against two holders while daemons differ on who holds a lock.
