--- a/src/config_check/configuration_check.cc
+++ b/src/config_check/configuration_check.cc
@@ -44,14 +44,15 @@
 
 private:
     template <class Entry>
-    void add(finding_severity severity, finding_kind kind, const Entry& entry, document_field field, std::string detail)
+    void add(finding_severity severity, finding_kind kind, const Entry& entry, document_field field,
+             const std::string& detail)
     {
         const auto& places = entry->places;
         const auto found = places.contains(field) ? places.find(field) : places.find(document_field::entry);
         findings_.push_back(config_finding{{.severity = severity,
                                             .kind = kind,
                                             .place = found == places.end() ? document_place{} : found->second,
-                                            .detail = std::move(detail)}});
+                                            .detail = detail}});
     }
 
     void check_services()
