--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -36,6 +36,10 @@
 /// A body is given memory as it arrives, because the header alone proves nothing.
 constexpr std::size_t read_step = 64 * 1024;
 
+/// The kernel reports room only once a third of its buffer is free. With a larger one, a slow link would look like a
+/// peer that takes nothing.
+constexpr int send_buffer_bytes = 128 * 1024;
+
 using clock = asio::steady_timer::clock_type;
 
 std::string frame(frame_kind kind, std::string_view body)
@@ -73,6 +77,7 @@
     connected_ = true;
     error_code ignored;
     socket_.non_blocking(true, ignored);
+    socket_.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
     set_tcp_options(socket_.native_handle(), peer_tcp_timeouts);
     received_at_ = clock::now();
     sent_at_ = received_at_;
@@ -117,7 +122,8 @@
 
 duration peer_connection::receive_limit() const
 {
-    return accepts_all_frames_ ? options_.receive_timeout : options_.first_frame_timeout;
+    return accepts_all_frames_ ? options_.receive_timeout
+                               : std::min(options_.first_frame_timeout, options_.receive_timeout);
 }
 
 /// One timer for all frames: restarting it with each would cost a system call a frame.
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -36,9 +36,9 @@
     duration receive_timeout = std::chrono::seconds(30);
     /// Time for a peer to send its hello, which it does with its first packet.
     duration first_frame_timeout = std::chrono::seconds(5);
-    /// A connection is closed if the peer takes none of the waiting bytes for this long. A piece of a message takes 0.3
-    /// s on a link of 2 Mbit/s.
-    duration send_timeout = std::chrono::seconds(2);
+    /// A connection is closed if the peer takes none of the waiting bytes for this long. Below the time after which the
+    /// kernel gives the connection up without a reason; a piece of a message takes 0.3 s on a link of 2 Mbit/s.
+    duration send_timeout = std::chrono::seconds(1);
     std::size_t max_input_bytes = 64 * 1024 * 1024;  ///< Memory for messages that are incomplete; one may take half.
     std::size_t max_output_bytes = 16 * 1024 * 1024; ///< Memory for long messages that peers have not taken.
     std::function<std::size_t(const peer_service_command&)> size_of{}; ///< Size of a command in its ring.
