Leave room for former connections only once a member has refused one

The budget of a start limited each daemon to its part of the rest for 3.5 s, also where members had room: in relay_test, 3 daemons could not hold the transactions of 9 others, and a write was refused. Now the limit holds from the first refusal in that time.

relay_test ("a draining daemon does not cut the transactions that others relayed to it") failed since the budget of a start, and passes. [relay], [pool], [fleet_start], [fleet_size] and [gateway] pass.

--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -46,10 +46,10 @@
     return std::min<duration>(refusal_pause * (1U << std::min(demand.refusals - 1, max_doublings)), max_refusal_pause);
 }
 
-/// Connections that this daemon may have at most.
+/// Connections that this daemon may have at most. A refusal while former connections may count shows that they do.
 std::size_t upper_bound_of(const connection_demand& demand, instant now)
 {
-    if (now < demand.former_until) {
+    if (demand.refused_at && now < demand.former_until) {
         return std::max(share_of(demand.limit * (1 - idle_fraction), demand.daemons), std::size_t{2});
     }
     return std::max(share_of(demand.limit * borrow_factor, demand.daemons), std::size_t{2});
