--- a/src/pool/connection_budget.cc
+++ b/src/pool/connection_budget.cc
@@ -46,11 +46,22 @@
     return std::min<duration>(refusal_pause * (1U << std::min(demand.refusals - 1, max_doublings)), max_refusal_pause);
 }
 
-/// Connections that this daemon may have at most. A refusal while former connections may count shows that they do.
+/// Connections that this daemon may have at most once a member has refused one, while it may count former connections.
+std::size_t part_beside_former(const connection_demand& demand)
+{
+    return std::max(share_of(demand.limit * (1 - idle_fraction), demand.daemons), std::size_t{2});
+}
+
+/// Connections that this daemon may have at most.
 std::size_t upper_bound_of(const connection_demand& demand, instant now)
 {
-    if (demand.refused_at && now < demand.former_until) {
-        return std::max(share_of(demand.limit * (1 - idle_fraction), demand.daemons), std::size_t{2});
+    if (now < demand.former_until) {
+        // Former connections may be gone already. One attempt at a time finds out, until the member refuses one.
+        const std::size_t part = part_beside_former(demand);
+        const bool may_try = !demand.refused_at && demand.opening == 0;
+        if (demand.open < part || !may_try) {
+            return part;
+        }
     }
     return std::max(share_of(demand.limit * borrow_factor, demand.daemons), std::size_t{2});
 }
--- a/src/pool/connection_budget.h
+++ b/src/pool/connection_budget.h
@@ -30,9 +30,9 @@
 [[nodiscard]] std::size_t fair_share(std::uint32_t limit, std::size_t daemons);
 
 /// Whether to open one more connection now. Beyond its fair share a daemon borrows connections that others leave
-/// unused, until the member refuses one. While the member may count the connections of former runs, and has refused
-/// one, daemons share what those leave. After a refusal a daemon tries one connection at a time, and waits longer
-/// before it borrows again. Thread-safe.
+/// unused, until the member refuses one. While the member may count the connections of former runs, daemons share what
+/// those leave. After a refusal a daemon tries one connection at a time, and waits longer before it borrows again.
+/// Thread-safe.
 [[nodiscard]] bool may_open(const connection_demand& demand, instant now);
 
 /// When should_close() has to be asked about a connection that has been idle since `idle_since`. Thread-safe.
