Show daemons that prepared shapes run out of memory

The shapes that are prepared on a connection to a member are kept by their number, not by their length. One consumer on each machine, which prepares and executes one shape of legal size after the other under one name, makes the processes exceed MemoryMb again and again.

--- a/review/standin-2/session_values.cc
+++ b/review/standin-2/session_values.cc
@@ -1,4 +1,5 @@
-// Consumers that set many session values: see review/7/claim.txt.
+// Consumers that set many session values, or prepare many shapes one after the other: see review/7/claim.txt and
+// review/10/claim.txt.
 
 #include "caller.h"
 #include "database_service.h"
@@ -16,14 +17,14 @@
 
 constexpr std::uint64_t memory_mb = 260;       ///< MemoryMb of each machine.
 constexpr std::size_t value_bytes = 1'000'000; ///< A message is at most 1 MiB.
-constexpr int values_by_session = 2'000;       ///< Most SET statements of one session.
+constexpr int statements_by_session = 2'000;   ///< Most SET or PREPARE statements of one session.
 constexpr int ends_by_fault = 3;               ///< Ends of a machine's process in a day that count as a fault...
 constexpr int machines_by_fault = 2;           ///< ...on a tenth of the machines, two at least.
 constexpr milliseconds check_interval{20};
 constexpr milliseconds restart_delay{300};
 constexpr milliseconds reconnect_gap{100};
 constexpr milliseconds read_gap{200};
-constexpr milliseconds run_time{60'000};
+constexpr milliseconds run_time{90'000};
 constexpr milliseconds calm_time{15'000};
 constexpr milliseconds start_limit{20'000};
 
@@ -41,10 +42,13 @@
     return 0;
 }
 
+/// What the consumers that don't behave send.
+enum class habit { values, shapes };
+
 class session_values_case {
 public:
-    session_values_case(std::string program, std::string folder, const std::string& record_file)
-        : program_(std::move(program)), folder_(std::move(folder)), record_(record_file),
+    session_values_case(habit sent, std::string program, std::string folder, const std::string& record_file)
+        : habit_(sent), program_(std::move(program)), folder_(std::move(folder)), record_(record_file),
           store_server_(loop_, [this](const auto& request, const auto& answer) { store_.handle(request, answer); }),
           promotion_server_(loop_, [](const auto&, const auto& answer) { answer({.status = 200, .body = "{}"}); }),
           database_(loop_, record_,
@@ -139,7 +143,7 @@
         loop_.after(with_trouble() ? run_time : calm_time, [this] { judge(); });
     }
 
-    /// A consumer that sets one session value after the other and reads each answer.
+    /// A consumer that sends one statement after the other and reads each answer.
     void start_setter(std::size_t machine)
     {
         const auto session = std::make_shared<caller>(loop_);
@@ -155,16 +159,33 @@
     }
 
     void set_value(std::size_t machine, int number)
+    {
+        const std::string data(value_bytes, 'x');
+        if (habit_ == habit::values) {
+            send(machine, "SET v" + std::to_string(number) + " " + data, number, true);
+        } else {
+            // The name is the same each time, so that the session holds one prepared statement only.
+            send(machine, "PREPARE s1 READ q" + std::to_string(number) + data, number, false);
+        }
+    }
+
+    /// Sends a statement and, once it is answered, the next one: EXECUTE after a PREPARE.
+    void send(std::size_t machine, const std::string& text, int number, bool last)
     {
         const std::string id = "s" + std::to_string(++last_id_);
-        const std::string text = "SET v" + std::to_string(number) + " " + std::string(value_bytes, 'x');
-        record_.add("sent " + id + " to " + deployment_.all()[machine]->name() + ": SET v" + std::to_string(number) +
-                    ", " + std::to_string(text.size()) + " bytes");
-        setters_[machine]->query(id, text, [this, machine, number, id](const caller_answer& answer) {
-            const bool set = answer.complete && answer.error_code.empty();
-            record_.add("answered " + id + " " + (set ? "COMPLETE" : answer.complete ? answer.error_code : "ended"));
-            loop_.after(set ? milliseconds(0) : reconnect_gap, [this, machine, number, set] {
-                set&& number < values_by_session ? set_value(machine, number + 1) : start_setter(machine);
+        record_.add("sent " + id + " to " + deployment_.all()[machine]->name() + ": " + text.substr(0, 24) + ", " +
+                    std::to_string(text.size()) + " bytes");
+        setters_[machine]->query(id, text, [this, machine, number, id, last](const caller_answer& answer) {
+            const bool done = answer.complete && answer.error_code.empty();
+            record_.add("answered " + id + " " + (done ? "COMPLETE" : answer.complete ? answer.error_code : "ended"));
+            loop_.after(done ? milliseconds(0) : reconnect_gap, [this, machine, number, done, last] {
+                if (done && !last) {
+                    send(machine, "EXECUTE s1 1a4", number, true);
+                } else if (done && number < statements_by_session) {
+                    set_value(machine, number + 1);
+                } else {
+                    start_setter(machine);
+                }
             });
         });
     }
@@ -210,6 +231,7 @@
         loop_.stop();
     }
 
+    habit habit_;
     std::string program_;
     std::string folder_;
     event_loop loop_;
@@ -235,9 +257,11 @@
 
 int main(int argc, char** argv)
 {
-    if (argc != 4) {
-        std::cerr << "usage: session_values PROGRAM FOLDER RECORD\n";
+    const std::string sent = argc == 5 ? argv[1] : "";
+    if (sent != "values" && sent != "shapes") {
+        std::cerr << "usage: session_values values|shapes PROGRAM FOLDER RECORD\n";
         return static_cast<int>(review::verdict::not_run);
     }
-    return review::session_values_case(argv[1], argv[2], argv[3]).run();
+    const auto habit = sent == "values" ? review::habit::values : review::habit::shapes;
+    return review::session_values_case(habit, argv[2], argv[3], argv[4]).run();
 }
