--- a/review/standin-2/daemon_process.cc
+++ b/review/standin-2/daemon_process.cc
@@ -6,6 +6,7 @@
 
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -88,6 +89,7 @@
     if (process_ != 0) {
         return;
     }
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with the case, also if that is killed.
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
