--- a/review/standin-2/failover_while_draining.cc
+++ b/review/standin-2/failover_while_draining.cc
@@ -112,14 +112,15 @@
         sessions_[number] = session;
         const auto& daemons = deployment_.all();
         const auto& daemon = daemons[static_cast<std::size_t>(number + restarts_++) % daemons.size()];
-        session->start(daemon->frontend(), host_of(number), [this, number](const caller_answer& answer) {
-            const bool started = answer.complete && answer.error_code.empty();
-            if (!started) {
-                count(false, event_loop::now()); // The request could not even be sent.
-            }
-            loop_.after(started ? request_gap : reconnect_gap,
-                        [this, number, started] { started ? request(number) : start_session(number); });
-        });
+        session->start(daemon->frontend(), host_of(number),
+                       [this, number, sent_at = event_loop::now()](const caller_answer& answer) {
+                           const bool started = answer.complete && answer.error_code.empty();
+                           if (!started) {
+                               count(false, sent_at); // The request could not even be sent.
+                           }
+                           loop_.after(started ? request_gap : reconnect_gap,
+                                       [this, number, started] { started ? request(number) : start_session(number); });
+                       });
     }
 
     /// One request in eight of a session writes.
