Take a pause only as one if its term was newer

A daemon that has just started knows no term and pauses replicas with term 1, which has no effect on a service of term 1 or more. It took the answered positions as final although the replicas went on receiving, so a former primary that still runs could have commits acknowledged that the promoted replica lacks. Cause: the answer to a pause carries the member's term, and nobody compared it. Change: a position counts only if the member's term is below that of the pause, or the member reports the pause; otherwise the next request carries a higher term. The fourth field of the status row (term held) is read. Stand-ins refuse a pause whose term is not newer, and state the pause in the row. Evidence: "a pause with a term that is not newer does not count as one" failed without the comparison (both replicas still received when the promotion was ordered) and passes with it.

--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -117,8 +117,8 @@
     [[nodiscard]] bool peers_agree(instant now) const;
     void ask_positions(instant now);
     void query_position(const std::string& member, instant now);
-    void on_position(const std::string& member, connection_number connection, const exchange_outcome& outcome,
-                     instant now);
+    void on_position(const std::string& member, connection_number connection, term_number pause_term,
+                     const exchange_outcome& outcome, instant now);
     [[nodiscard]] std::vector<std::string> promotion_candidates(bool draining_too) const;
     [[nodiscard]] std::size_t required_positions() const;
     [[nodiscard]] std::optional<std::string> most_advanced_candidate() const;
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -65,22 +65,23 @@
     if (connection == 0) {
         return;
     }
-    const bool pause = options_.sync_replicas() > 0;
     member_statement status_query = query_replication_status{};
-    if (pause) {
+    term_number pause_term = 0;
+    if (options_.sync_replicas() > 0) {
         // If replication went on, the old primary could still acknowledge commits after this position was read.
-        status_query = pause_replication{.term = options_.state().leadership.term() + 1};
+        pause_term = options_.state().leadership.term() + 1;
+        status_query = pause_replication{.term = pause_term};
         paused_replicas_.insert(member);
     }
     pool_.send_internal(
         connection, {status_query},
-        [this, member, connection](const exchange_outcome& outcome, instant at) {
-            on_position(member, connection, outcome, at);
+        [this, member, connection, pause_term](const exchange_outcome& outcome, instant at) {
+            on_position(member, connection, pause_term, outcome, at);
         },
         now);
 }
 
-void primary_change::on_position(const std::string& member, connection_number connection,
+void primary_change::on_position(const std::string& member, connection_number connection, term_number pause_term,
                                  const exchange_outcome& outcome, instant now)
 {
     const auto* reply = std::get_if<member_reply>(&outcome);
@@ -93,6 +94,13 @@
         const auto status = options_.read_status((*reply)->rows.front());
         if (ok(status)) {
             options_.state().leadership.observe_term(value_of(status)->term);
+            if (value_of(status)->term >= pause_term && value_of(status)->paused_by < pause_term && pause_term > 0) {
+                // The member knows a newer term, so it still receives. The next request carries a higher one.
+                options_.log("pause_ineffective", "service=" + options_.service + " member=" + member +
+                                                      " pause_term=" + std::to_string(pause_term) +
+                                                      " term=" + std::to_string(value_of(status)->term));
+                return;
+            }
             position = value_of(status)->received;
         }
     } else if (options_.sync_replicas() == 0) {
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -281,6 +281,10 @@
     CHECK_FALSE(value_of(status)->leads);
     CHECK(value_of(status)->term == 3);
     CHECK(value_of(status)->received == log_position{{.term = 3, .index = 1209}});
+    CHECK(value_of(status)->paused_by == 0);
+    const auto paused = member_codec::read_status("replica 3 3.1209 4 12 2 17");
+    REQUIRE(ok(paused));
+    CHECK(value_of(paused)->paused_by == 4);
     for (const char* row : {"", "king 3 3.1", "primary x 3.1", "replica 3 -"}) {
         CHECK_FALSE(ok(member_codec::read_status(row)));
     }
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -35,7 +35,7 @@
 class observed_service {
 public:
     observed_service()
-        : service({.members = {"a", "b"}, .replica_lag = 100ms, .status_row = [](bool, const log_position&) {
+        : service({.members = {"a", "b"}, .replica_lag = 100ms, .status_row = [](bool, const log_position&, term_number) {
                        return std::string();
                    }})
     {
--- a/tests/support/gateway_simulation.cc
+++ b/tests/support/gateway_simulation.cc
@@ -58,9 +58,10 @@
            std::holds_alternative<resume_replication>(query->body) || std::holds_alternative<step_down>(query->body);
 }
 
-std::string fake_status_row(bool leads, const log_position& received)
+std::string fake_status_row(bool leads, const log_position& received, term_number paused_by)
 {
-    return std::to_string(leads) + " " + std::to_string(received->term) + " " + std::to_string(received->index);
+    return std::to_string(leads) + " " + std::to_string(received->term) + " " + std::to_string(received->index) + " " +
+           std::to_string(paused_by);
 }
 
 std::vector<std::string> member_ids(std::size_t count)
@@ -145,15 +146,19 @@
     return failover_lock{{.service = std::string(name), .holder = holder, .incarnation = incarnation}};
 }
 
-/// A fake status row is "LEADS TERM INDEX".
+/// A fake status row is "LEADS TERM INDEX PAUSED_BY".
 result<replication_status> read_fake_status(const std::string& row)
 {
     std::istringstream words(row);
     bool leads = false;
     term_number term = 0;
     log_index index = 0;
-    words >> leads >> term >> index;
-    return replication_status{{.leads = leads, .term = term, .received = log_position{{.term = term, .index = index}}}};
+    term_number paused_by = 0;
+    words >> leads >> term >> index >> paused_by;
+    return replication_status{{.leads = leads,
+                               .term = term,
+                               .received = log_position{{.term = term, .index = index}},
+                               .paused_by = paused_by}};
 }
 
 } // namespace
--- a/tests/unanswered_orders_test.cc
+++ b/tests/unanswered_orders_test.cc
@@ -163,3 +163,29 @@
     CHECK(simulation.leader() == primary);
     CHECK(load.lost().empty());
 }
+
+TEST_CASE("a pause with a term that is not newer does not count as one", "[orders]")
+{
+    // Guards against promoting a replica whose position may already be old: a daemon that knows no term yet pauses
+    // replicas with a term that has no effect.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(2s);
+    const std::string primary = simulation.leader();
+    const std::vector<std::string> others = replicas(simulation);
+    simulation.silence_member(primary);
+    simulation.restart_all_daemons();
+    simulation.remove_entry(primary);
+    bool ordered = false;
+    for (const instant end = simulation.now() + 9s; simulation.now() < end && !ordered;) {
+        simulation.run(1ms);
+        for (std::size_t i = 0; i < simulation.daemons(); ++i) {
+            const std::vector<std::string> changes = simulation.logged(i, "primary_change");
+            ordered = ordered || (!changes.empty() && changes.back().find("to=promoting") != std::string::npos);
+        }
+    }
+    REQUIRE(ordered);
+    for (const std::string& replica : others) {
+        CHECK(simulation.paused(replica));
+    }
+}
--- a/tools/standin/service_model.cc
+++ b/tools/standin/service_model.cc
@@ -126,10 +126,12 @@
         } else if (const auto* pause = std::get_if<pause_replication>(&body);
                    pause != nullptr && !member.leads && pause->term > committed_->term) {
             member.paused_at = member.paused_at.value_or(now);
+            member.paused_by = pause->term;
         } else if (std::holds_alternative<resume_replication>(body)) {
             member.paused_at.reset();
         }
-        reply.rows = {options_.status_row(member.leads, received_position(member, now))};
+        reply.rows = {options_.status_row(member.leads, received_position(member, now),
+                                          member.paused_at ? member.paused_by : 0)};
     }
 }
 
--- a/tools/standin/service_model.h
+++ b/tools/standin/service_model.h
@@ -28,7 +28,7 @@
     std::size_t max_connections = 20; ///< Connections that a member accepts.
     std::size_t sync_replicas = 0;    ///< Replicas that must have received a commit before it is acknowledged.
     /// Formats the row of a status answer as the code under test expects it.
-    std::function<std::string(bool leads, const log_position& received)> status_row;
+    std::function<std::string(bool leads, const log_position& received, term_number paused_by)> status_row;
 };
 
 /// A committed transaction in the log.
@@ -123,6 +123,7 @@
         bool leads = false;
         log_position step_down_position{}; ///< End of its log when it stepped down.
         std::optional<instant> paused_at;  ///< Since when it receives no log entries.
+        term_number paused_by = 0;         ///< Term of the pause.
         std::map<member_session, connection_state> connections;
     };
     struct parsed_statement {
