Look at replicas again whose pause may be carried out late

What callers saw: after a pause that was carried out after its end, a replica stayed behind for good. If it hit all replicas, no write was acknowledged until the failover lock changed hands (SyncReplicas 1 or more). Cause: one answer to a request to resume was trusted for ever, although a request to pause without an answer may be carried out seconds later. Change: replica_pauses, taken out of primary_change, repeats the end of a pause every 2 s for 30 s after a request to pause had no answer, and asks all replicas for their state every 2 s (one status statement each; only where commits wait for replicas), which also finds a pause that an earlier holder ordered. Evidence: "replicas whose pause is carried out late resume replication" and "... was ordered by a daemon that has ended ..." fail without the second look (0 writes acknowledged, both replicas paused) and pass with it.

--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -60,6 +60,16 @@
     return made;
 }
 
+primary_change::primary_change(primary_change_options options, member_pool& pool)
+    : options_(std::move(options)), pool_(pool), pauses_({.service = options_.service,
+                                                          .state = options_.state,
+                                                          .sync_replicas = options_.sync_replicas,
+                                                          .read_status = options_.read_status,
+                                                          .log = options_.log},
+                                                         pool)
+{
+}
+
 result<done> primary_change::bind()
 {
     auto orders = outstanding_promotions::make({.service = options_.service,
@@ -240,8 +250,7 @@
     }
 }
 
-/// Resumes replication on the members that a change paused, and retries until they confirm it. A new holder of the
-/// failover lock resumes all members, because the previous holder may have stopped between pausing and resuming.
+/// Resumes replication once this daemon knows the leader and no promotion can replace it any more.
 void primary_change::resume_replicas(instant now)
 {
     const auto fence = options_.fence(now);
@@ -251,41 +260,7 @@
     if (options_.sync_replicas() > 0 && !orders_->settled(now)) {
         return; // The primary must not acknowledge commits that an earlier promotion would drop.
     }
-    if (options_.sync_replicas() > 0 && *fence != resumed_with_fence_) {
-        resumed_with_fence_ = *fence;
-        for (const std::string& id : pool_.members_of(options_.service)) {
-            paused_replicas_.insert(id);
-        }
-    }
-    const std::string& leader = *options_.state().leadership.leader();
-    std::erase_if(paused_replicas_, [&](const std::string& id) { return id == leader || pool_.member(id) == nullptr; });
-    for (const std::string& member : paused_replicas_) {
-        const connection_number connection = resuming_replicas_.contains(member) ? 0 : pool_.acquire(member, {}, now);
-        if (connection != 0) {
-            resuming_replicas_.insert(member);
-            pool_.send_internal(
-                connection, {resume_replication{}},
-                [this, member, connection](const exchange_outcome& outcome, instant at) {
-                    on_resumed(member, connection, outcome, at);
-                },
-                now);
-        }
-    }
-}
-
-void primary_change::on_resumed(const std::string& member, connection_number connection,
-                                const exchange_outcome& outcome, instant now)
-{
-    resuming_replicas_.erase(member);
-    const auto* reply = std::get_if<member_reply>(&outcome);
-    if (reply == nullptr) {
-        return; // The connection was lost; the next tick retries on another one.
-    }
-    pool_.release(connection, now);
-    const bool busy = (*reply)->failure && (*(*reply)->failure)->kind == error_kind::overloaded;
-    if (!busy) {
-        paused_replicas_.erase(member);
-    }
+    pauses_.tick(*fence, now);
 }
 
 /// The reason to replace the primary; empty if there is none.
--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -9,6 +9,7 @@
 #include "pool/member_pool.h"
 #include "pool/replication_status.h"
 #include "primary_change/outstanding_promotions.h"
+#include "primary_change/replica_pauses.h"
 
 #include <cstdint>
 #include <functional>
@@ -104,7 +105,7 @@
         instant now;
     };
 
-    primary_change(primary_change_options options, member_pool& pool) : options_(std::move(options)), pool_(pool) {}
+    primary_change(primary_change_options options, member_pool& pool);
 
     result<done> bind();
     static chart_bindings<context> bindings();
@@ -125,8 +126,6 @@
     [[nodiscard]] bool may_order(instant now) const;
     [[nodiscard]] std::optional<std::string> least_lagging_candidate() const;
     void resume_replicas(instant now);
-    void on_resumed(const std::string& member, connection_number connection, const exchange_outcome& outcome,
-                    instant now);
     void order_promotion(instant now);
     void step_leader_down(instant now);
     void on_stepped_down(connection_number connection, const exchange_outcome& outcome, instant now);
@@ -139,6 +138,7 @@
     primary_change_options options_;
     member_pool& pool_;
     std::unique_ptr<outstanding_promotions> orders_;
+    replica_pauses pauses_;
     std::optional<chart_program<event, context>> program_;
     state_id state_{};
     std::uint64_t timer_generation_ = 0;     ///< Generation of the armed timer; older timers are ignored.
@@ -150,9 +150,6 @@
     std::size_t reachable_votes_ = 0;
     std::map<std::string, log_position> positions_; ///< End of the received log, by member.
     std::size_t positions_asked_ = 0;
-    std::set<std::string> paused_replicas_;      ///< Members whose replication a change may have paused.
-    std::set<std::string> resuming_replicas_;    ///< Those of paused_replicas_ with a resume request in flight.
-    std::uint64_t resumed_with_fence_ = 0;       ///< Fencing token under which all members were last resumed.
     std::string old_primary_;                    ///< Member that is asked to step down.
     std::optional<log_position> final_position_; ///< Log position at which it stepped down.
     std::string successor_;
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -71,7 +71,7 @@
         // If replication went on, the old primary could still acknowledge commits after this position was read.
         pause_term = options_.state().leadership.term() + 1;
         status_query = pause_replication{.term = pause_term};
-        paused_replicas_.insert(member);
+        pauses_.asked(member);
     }
     pool_.send_internal(
         connection, {status_query},
@@ -86,6 +86,9 @@
 {
     const auto* reply = std::get_if<member_reply>(&outcome);
     if (reply == nullptr) {
+        if (pause_term > 0) {
+            pauses_.unanswered(member, now);
+        }
         return;
     }
     pool_.release(connection, now);
--- a/tests/unanswered_orders_test.cc
+++ b/tests/unanswered_orders_test.cc
@@ -164,6 +164,39 @@
     CHECK(load.lost().empty());
 }
 
+TEST_CASE("replicas whose pause is carried out late resume replication", "[orders]")
+{
+    // Guards against trusting one answer to a resume request for ever: a pause that had no answer is carried out after
+    // it and stops the acknowledgement of writes for good.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(4s);
+    const std::string primary = simulation.leader();
+    const std::vector<std::string> others = replicas(simulation);
+    for (const std::string& replica : others) {
+        simulation.delay_orders(replica, 1000, 7s);
+    }
+    simulation.silence_member(primary);
+    load.run(2500ms);
+    simulation.heal_member(primary);
+    REQUIRE(simulation.lock_holder());
+    const std::size_t holder = *simulation.lock_holder();
+    REQUIRE_FALSE(simulation.logged(holder, "primary_change").empty());
+    for (int i = 0;
+         i < 500 && simulation.logged(holder, "primary_change").back().find("to=watching") == std::string::npos; ++i) {
+        simulation.run(1ms);
+    }
+    for (const std::string& replica : others) {
+        simulation.delay_orders(replica, 0, {});
+    }
+    load.run(20s);
+    CHECK(load.lost().empty());
+    CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
+    for (const std::string& replica : others) {
+        CHECK_FALSE(simulation.paused(replica));
+    }
+}
+
 TEST_CASE("a pause with a term that is not newer does not count as one", "[orders]")
 {
     // Guards against promoting a replica whose position may already be old: a daemon that knows no term yet pauses
@@ -189,3 +222,20 @@
         CHECK(simulation.paused(replica));
     }
 }
+
+TEST_CASE("replicas whose pause was ordered by a daemon that has ended resume replication", "[orders]")
+{
+    // Guards against a holder of the lock that never looks at replicas again: the pause of an earlier holder is carried
+    // out after it has resumed them.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(4s);
+    for (const std::string& replica : replicas(simulation)) {
+        simulation.pause_member(replica);
+    }
+    load.run(6s);
+    for (const std::string& replica : replicas(simulation)) {
+        CHECK_FALSE(simulation.paused(replica));
+    }
+    CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
+}
