Do not require a position of a primary that only its entry tells of

What callers saw: after a restart of all daemons while the primary was dark (SyncReplicas 1 or more), no primary was promoted as long as its entry was listed; an entry may stay while the member is cut off from the daemons only. A daemon that has never known a primary counted every listed member as a replica, so the positions of all of them were required, also of the one that cannot be reached. Change: such a daemon takes for the former primary the one listed member that reports itself as primary and can't be reached. With two of them the count stays as it was: the other one may hold commits. Evidence: "daemons that never knew the primary replace it while its entry is still listed" failed before (no leader within 9 s) and passes now.

--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -122,6 +122,7 @@
                      const exchange_outcome& outcome, instant now);
     [[nodiscard]] std::vector<std::string> promotion_candidates(bool draining_too) const;
     [[nodiscard]] std::vector<std::string> asked_replicas() const;
+    [[nodiscard]] bool is_former_primary(const std::string& id) const;
     [[nodiscard]] std::size_t required_positions() const;
     [[nodiscard]] std::optional<std::string> most_advanced_candidate() const;
     [[nodiscard]] bool may_order(instant now) const;
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -37,18 +37,31 @@
     return asked.empty() ? promotion_candidates(true) : asked;
 }
 
-/// Number of members that must report their positions. With r replicas, of which s must hold each commit, any r - s + 1
-/// of them include one that holds every commit.
+/// Whether a member is the former primary: the last known leader or, for a daemon that never knew one, a member that
+/// can't be reached and reported itself as primary.
+bool primary_change::is_former_primary(const std::string& id) const
+{
+    const std::string& last = options_.state().leadership.last_leader();
+    if (!last.empty()) {
+        return id == last;
+    }
+    const pooled_member& member = *pool_.member(id);
+    return member.entry->reports_primary && member.health.reachability() != member_reachability::reachable;
+}
+
+/// Number of replicas that must report their positions. With r replicas, of which s must hold each commit, any r - s +
+/// 1 of them include one that holds every commit.
 std::size_t primary_change::required_positions() const
 {
     const std::uint32_t sync = options_.sync_replicas();
     if (sync == 0) {
         return 1;
     }
-    std::size_t replicas = 0;
-    for (const std::string& id : pool_.members_of(options_.service)) {
-        replicas += id != options_.state().leadership.last_leader() ? 1 : 0;
-    }
+    const std::vector<std::string>& members = pool_.members_of(options_.service);
+    const auto former =
+        std::count_if(members.begin(), members.end(), [this](const std::string& id) { return is_former_primary(id); });
+    // Two members that report themselves as primary: only one was the last, and the other one may hold commits.
+    const std::size_t replicas = members.size() - (former == 1 ? 1 : 0);
     return replicas + 1 > sync ? std::max<std::size_t>(replicas + 1 - sync, 1) : 1;
 }
 
--- a/tests/change_positions_test.cc
+++ b/tests/change_positions_test.cc
@@ -84,3 +84,19 @@
     CHECK(simulation.leader() == "m1"); // The draining member has handed over.
     CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
 }
+
+TEST_CASE("daemons that never knew the primary replace it while its entry is still listed", "[positions]")
+{
+    // Guards against counting the unreachable primary among the replicas whose positions are required.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(2s);
+    simulation.announce_primary(simulation.leader());
+    simulation.silence_member(simulation.leader());
+    load.run(500ms);
+    simulation.restart_all_daemons();
+    CHECK(time_to_leader(simulation, load));
+    load.run(3s);
+    CHECK(load.lost().empty());
+    CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
+}
