Order a rejected candidate again if there is no other

Cause: a rejected member was left out until the change of primary ended, and without it the change could not end. Change: a rejection counts for 0.5 s. Another candidate is still ordered at once. Evidence: "the only candidate is ordered again after the platform rejected it" failed before (no leader within 9 s) and passes now.

--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -32,6 +32,9 @@
 /// Minimum time between two changes of a service, to avoid flapping.
 constexpr duration min_change_interval = std::chrono::milliseconds(1500);
 
+/// Time for which the platform's rejection of a member counts: it was not running, and may be soon.
+constexpr duration rejection_validity = std::chrono::milliseconds(500);
+
 /// A daemon that has never known a leader waits this long before it treats the service as leaderless: members that
 /// start together with it register over several seconds, and the leader may be the last.
 constexpr duration initial_search_time = std::chrono::milliseconds(5000);
@@ -163,7 +166,7 @@
                  }},
                 {"raise_fence_if_blocked",
                  [](context& each) {
-                     if (each.change.most_advanced_candidate() && !each.change.may_order(each.now)) {
+                     if (each.change.most_advanced_candidate(each.now) && !each.change.may_order(each.now)) {
                          each.change.options_.raise_fence(each.now);
                      }
                  }},
@@ -174,7 +177,7 @@
                 {"note_refusal",
                  [](context& each) {
                      primary_change& change = each.change;
-                     change.refused_until_[change.successor_] = each.now + min_change_interval;
+                     change.rejected_until_[change.successor_] = each.now + rejection_validity;
                      change.orders_->note_refusal(change.ordered_fence_, each.now);
                  }},
                 {"note_disagreement",
@@ -368,7 +371,8 @@
 
 void primary_change::order_promotion(instant now)
 {
-    successor_ = final_position_ && !successor_.empty() ? successor_ : most_advanced_candidate().value_or(successor_);
+    successor_ =
+        final_position_ && !successor_.empty() ? successor_ : most_advanced_candidate(now).value_or(successor_);
     final_position_.reset();
     const auto fence = options_.fence(now);
     if (!fence || successor_.empty()) {
--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -124,7 +124,7 @@
     [[nodiscard]] std::vector<std::string> asked_replicas() const;
     [[nodiscard]] bool is_former_primary(const std::string& id) const;
     [[nodiscard]] std::size_t required_positions() const;
-    [[nodiscard]] std::optional<std::string> most_advanced_candidate() const;
+    [[nodiscard]] std::optional<std::string> most_advanced_candidate(instant now) const;
     [[nodiscard]] bool may_order(instant now) const;
     [[nodiscard]] std::optional<std::string> least_lagging_candidate() const;
     void resume_replicas(instant now);
@@ -155,9 +155,9 @@
     std::string old_primary_;                    ///< Member that is asked to step down.
     std::optional<log_position> final_position_; ///< Log position at which it stepped down.
     std::string successor_;
-    std::map<std::string, instant> refused_until_; ///< Changes started before this time skip the rejected member.
-    std::string ordered_member_;                   ///< Member of the last order of this change.
-    std::uint64_t ordered_fence_ = 0;              ///< Token of that order.
+    std::map<std::string, instant> rejected_until_; ///< Members are not ordered again before this time.
+    std::string ordered_member_;                    ///< Member of the last order of this change.
+    std::uint64_t ordered_fence_ = 0;               ///< Token of that order.
     call_number pending_call_ = 0;
     std::uint64_t completed_total_ = 0;
 };
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -142,7 +142,7 @@
 }
 
 /// The member to promote: the most advanced of those that reported their positions, preferably one that stays.
-std::optional<std::string> primary_change::most_advanced_candidate() const
+std::optional<std::string> primary_change::most_advanced_candidate(instant now) const
 {
     if (positions_.size() < required_positions()) {
         return std::nullopt;
@@ -153,8 +153,8 @@
     };
     std::optional<std::string> best;
     for (const auto& [member, position] : positions_) {
-        const auto refused = refused_until_.find(member);
-        const bool rejected = refused != refused_until_.end() && refused->second > started_at_;
+        const auto found = rejected_until_.find(member);
+        const bool rejected = found != rejected_until_.end() && now < found->second;
         if (!rejected && (!best || rank(member) > rank(*best))) {
             best = member;
         }
@@ -166,7 +166,7 @@
 /// Where acknowledged commits may be lost in a change of primary, it doesn't wait for the latter.
 bool primary_change::may_order(instant now) const
 {
-    const auto best = most_advanced_candidate();
+    const auto best = most_advanced_candidate(now);
     return best && (options_.sync_replicas() == 0 || orders_->allows(*best, now));
 }
 
--- a/tests/change_positions_test.cc
+++ b/tests/change_positions_test.cc
@@ -85,6 +85,19 @@
     CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
 }
 
+TEST_CASE("the only candidate is ordered again after the platform rejected it", "[positions]")
+{
+    // Guards against leaving a rejected candidate out until the change ends, which it then never does.
+    gateway_simulation simulation({.daemons = 3, .members = 2});
+    write_load load(simulation, 6);
+    load.run(2s);
+    simulation.reject_promotions(1);
+    simulation.crash_member(simulation.leader());
+    CHECK(time_to_leader(simulation, load));
+    load.run(2s);
+    CHECK(load.acknowledged_since(simulation.now() - 1s) > 50);
+}
+
 TEST_CASE("daemons that never knew the primary replace it while its entry is still listed", "[positions]")
 {
     // Guards against counting the unreachable primary among the replicas whose positions are required.
