Do not promote a replica that lacks commits in place of a rejected one

What callers saw: acknowledged commits were lost with SyncReplicas 1 or more, if the platform rejected the most advanced replica once: the change turned to one that had not received the last commits. Cause: a rejected member was taken out of the candidates before the most advanced one was chosen, which holds the commits only among all. Change: if commits wait for replicas, only members with the highest position are ordered. Evidence: "a replica that lacks acknowledged commits is not promoted in place of a rejected one" failed before (commits lost) and passes now.

--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -1,6 +1,7 @@
 #include "primary_change/primary_change.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace citronfall {
@@ -141,25 +142,32 @@
     }
 }
 
-/// The member to promote: the most advanced of those that reported their positions, preferably one that stays.
+/// The member to promote: the most advanced of those that reported their positions, preferably one that stays. If
+/// commits wait for replicas, it must not lack an entry that another one has, so a rejected member that alone has it is
+/// waited for; otherwise another one takes its place.
 std::optional<std::string> primary_change::most_advanced_candidate(instant now) const
 {
     if (positions_.size() < required_positions()) {
         return std::nullopt;
     }
-    const auto rank = [this](const std::string& member) {
+    const bool keeps_commits = options_.sync_replicas() > 0;
+    const auto is_rejected = [&](const std::string& member) {
+        const auto found = rejected_until_.find(member);
+        return found != rejected_until_.end() && now < found->second;
+    };
+    const auto rank = [&](const std::string& member) {
+        const bool accepted = !is_rejected(member);
         const pooled_member* known = pool_.member(member);
-        return std::pair(positions_.at(member), known != nullptr && !known->entry->draining);
+        const bool stays = known != nullptr && !known->entry->draining;
+        return std::tuple(keeps_commits || accepted, positions_.at(member), accepted, stays);
     };
     std::optional<std::string> best;
     for (const auto& [member, position] : positions_) {
-        const auto found = rejected_until_.find(member);
-        const bool rejected = found != rejected_until_.end() && now < found->second;
-        if (!rejected && (!best || rank(member) > rank(*best))) {
+        if (!best || rank(member) > rank(*best)) {
             best = member;
         }
     }
-    return best;
+    return best && is_rejected(*best) ? std::nullopt : best;
 }
 
 /// Whether a successor is known and no other member's promotion, ordered before, could be carried out after its own.
--- a/tests/change_positions_test.cc
+++ b/tests/change_positions_test.cc
@@ -98,6 +98,22 @@
     CHECK(load.acknowledged_since(simulation.now() - 1s) > 50);
 }
 
+TEST_CASE("a replica that lacks acknowledged commits is not promoted in place of a rejected one", "[positions]")
+{
+    // Guards against turning to a less advanced replica after a rejection although commits must not be lost.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(2s);
+    simulation.pause_member("m1");
+    load.run(1s);
+    simulation.reject_promotions(1);
+    lose_member(simulation, load, simulation.leader());
+    CHECK(time_to_leader(simulation, load));
+    load.run(3s);
+    CHECK(load.lost().empty());
+    CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
+}
+
 TEST_CASE("daemons that never knew the primary replace it while its entry is still listed", "[positions]")
 {
     // Guards against counting the unreachable primary among the replicas whose positions are required.
