Log why a change of primary waits

Change: change_waits says whether positions are short (told, asked, required), an open order names another member, or the candidate was rejected; one line for each new state.

--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -164,11 +164,9 @@
                  [](context& each) {
                      each.change.ask_catch_up(each.now);
                  }},
-                {"raise_fence_if_blocked",
+                {"note_wait",
                  [](context& each) {
-                     if (each.change.most_advanced_candidate(each.now) && !each.change.may_order(each.now)) {
-                         each.change.options_.raise_fence(each.now);
-                     }
+                     each.change.note_wait(each.now);
                  }},
                 {"raise_fence",
                  [](context& each) {
@@ -366,6 +364,7 @@
     ordered_member_.clear();
     old_primary_.clear();
     final_position_.reset();
+    last_wait_.clear();
     orders_->reset_refusals();
 }
 
--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -126,6 +126,7 @@
     [[nodiscard]] std::size_t required_positions() const;
     [[nodiscard]] std::optional<std::string> most_advanced_candidate(instant now) const;
     [[nodiscard]] bool may_order(instant now) const;
+    void note_wait(instant now);
     [[nodiscard]] std::optional<std::string> least_lagging_candidate() const;
     void resume_replicas(instant now);
     void order_promotion(instant now);
@@ -156,6 +157,7 @@
     std::optional<log_position> final_position_; ///< Log position at which it stepped down.
     std::string successor_;
     std::map<std::string, instant> rejected_until_; ///< Members are not ordered again before this time.
+    std::string last_wait_;                         ///< Last logged reason why no promotion was ordered.
     std::string ordered_member_;                    ///< Member of the last order of this change.
     std::uint64_t ordered_fence_ = 0;               ///< Token of that order.
     call_number pending_call_ = 0;
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -178,6 +178,24 @@
     return best && (options_.sync_replicas() == 0 || orders_->allows(*best, now));
 }
 
+/// Logs why no promotion can be ordered yet, and raises the token if that is an open order for another member.
+void primary_change::note_wait(instant now)
+{
+    const auto candidate = most_advanced_candidate(now);
+    const bool short_of_positions = positions_.size() < required_positions();
+    const std::string reason = candidate ? "open_order" : short_of_positions ? "positions" : "rejected";
+    if (candidate) {
+        options_.raise_fence(now);
+    }
+    const std::string wait =
+        "service=" + options_.service + " reason=" + reason + " told=" + std::to_string(positions_.size()) +
+        " asked=" + std::to_string(positions_asked_) + " required=" + std::to_string(required_positions());
+    if (wait != last_wait_) {
+        last_wait_ = wait;
+        options_.log("change_waits", wait);
+    }
+}
+
 std::optional<std::string> primary_change::least_lagging_candidate() const
 {
     const auto candidates = promotion_candidates(false);
