Show a token also while writes take every connection to the primary

Cause: the holder shows its token only if the primary proved its leadership within 200 ms. Writes that wait for paused replicas occupied the one connection that each daemon had to the primary, and the next ones took it over, so no probe got through for more than 7 s, and the pauses could not end. Change: after 2 s without such a proof the token is shown all the same. A member that no longer leads refuses the next of those writes, so the knowledge of who leads is no older than a statement's time limit.

--- a/src/primary_change/outstanding_promotions.cc
+++ b/src/primary_change/outstanding_promotions.cc
@@ -22,9 +22,14 @@
 /// two daemons that both run must not order promotions in turn within one lease.
 constexpr duration min_hold_time = std::chrono::seconds(3);
 
-/// Age up to which a proof of leadership lets the primary be named in an order that must not change anything.
+/// Age up to which a proof of leadership lets the primary be named at once in an order that must not change anything.
 constexpr duration max_proof_age = std::chrono::milliseconds(200);
 
+/// Longest wait for such a proof; longer than it takes to notice that a primary is lost. Writes that wait for paused
+/// replicas can take all connections to the primary, so that no probe gets through; a member that leads no more refuses
+/// the next of them.
+constexpr duration max_proof_wait = std::chrono::seconds(2);
+
 } // namespace
 
 result<std::unique_ptr<outstanding_promotions>> outstanding_promotions::make(outstanding_promotions_options options)
@@ -107,19 +112,27 @@
     if (!fence || !acquired_fence_) {
         return;
     }
-    if (has_open_order_from(*fence)) {
-        fire(event::order_open, now);
-    } else if (!must_show(*fence, now)) {
-        fire(event::nothing_open, now);
-    } else if (now >= next_show_) {
-        const auto& leadership = options_.state().leadership;
-        const auto proved_at = options_.state().primary_positions.newest();
-        if (leadership.leader() && proved_at && now - *proved_at <= max_proof_age) {
-            fire(event::token_unseen, now);
-        }
+    const bool raise = has_open_order_from(*fence);
+    if (raise || !must_show(*fence, now)) {
+        show_wanted_since_.reset();
+        fire(raise ? event::order_open : event::nothing_open, now);
+        return;
+    }
+    show_wanted_since_ = show_wanted_since_.value_or(now);
+    if (now >= next_show_ && knows_leader(now)) {
+        fire(event::token_unseen, now);
     }
 }
 
+/// Whether the present primary is known well enough to be named in an order that must not change anything.
+bool outstanding_promotions::knows_leader(instant now) const
+{
+    const auto proved_at = options_.state().primary_positions.newest();
+    const bool proved = proved_at && now - *proved_at <= max_proof_age;
+    const bool waited = show_wanted_since_ && now - *show_wanted_since_ >= max_proof_wait;
+    return options_.state().leadership.leader() && (proved || waited);
+}
+
 /// Whether an order with a lower token than `fence`, of this daemon or an earlier holder, may still be carried out.
 bool outstanding_promotions::must_show(std::uint64_t fence, instant now) const
 {
--- a/src/primary_change/outstanding_promotions.h
+++ b/src/primary_change/outstanding_promotions.h
@@ -99,6 +99,7 @@
     void note_accepted(std::uint64_t fence);
     void note_shown(call_outcome outcome, instant now);
     [[nodiscard]] bool must_show(std::uint64_t fence, instant now) const;
+    [[nodiscard]] bool knows_leader(instant now) const;
     [[nodiscard]] bool has_open_order_from(std::uint64_t fence) const;
 
     outstanding_promotions_options options_;
@@ -112,6 +113,7 @@
     instant settled_at_{};     ///< When earlier orders that were accepted in time have taken effect.
     call_number shown_by_ = 0; ///< Call that shows the token; 0: none is in flight.
     instant next_show_{};
+    std::optional<instant> show_wanted_since_;
     unsigned consecutive_refusals_ = 0;
 };
 
