Prefer a replica whose pause may still be ended by a late order

A request to resume without an answer was carried out during the next change, while the promotion of the other replica was open, and the former primary, which had come back, had commits acknowledged by the resumed one.

--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -159,7 +159,9 @@
         const bool accepted = !is_rejected(member);
         const pooled_member* known = pool_.member(member);
         const bool stays = known != nullptr && !known->entry->draining;
-        return std::tuple(keeps_commits || accepted, positions_.at(member), accepted, stays);
+        // What a member receives in spite of its pause is lost unless it is the one that is promoted.
+        const bool may_receive = keeps_commits && pauses_.may_resume(member, now);
+        return std::tuple(keeps_commits || accepted, positions_.at(member), may_receive, accepted, stays);
     };
     std::optional<std::string> best;
     for (const auto& [member, position] : positions_) {
--- a/src/primary_change/replica_pauses.cc
+++ b/src/primary_change/replica_pauses.cc
@@ -17,6 +17,12 @@
     may_pause_until_[member] = now + max_late_time;
 }
 
+bool replica_pauses::may_resume(const std::string& member, instant now) const
+{
+    const auto found = may_resume_until_.find(member);
+    return resuming_.contains(member) || (found != may_resume_until_.end() && now < found->second);
+}
+
 /// A new holder of the failover lock resumes all members, because the previous holder may have stopped between pausing
 /// and resuming.
 void replica_pauses::tick(std::uint64_t fence, instant now)
@@ -56,6 +62,7 @@
     resuming_.erase(member);
     const auto* reply = std::get_if<member_reply>(&outcome);
     if (reply == nullptr) {
+        may_resume_until_[member] = now + max_late_time;
         return; // The connection was lost; the next tick retries on another one.
     }
     pool_.release(connection, now);
--- a/src/primary_change/replica_pauses.h
+++ b/src/primary_change/replica_pauses.h
@@ -38,6 +38,10 @@
     /// A request to pause got no answer; it may still be carried out.
     void unanswered(const std::string& member, instant now);
 
+    /// Whether a request to resume may still be carried out, so that the member can receive although it was paused
+    /// since.
+    [[nodiscard]] bool may_resume(const std::string& member, instant now) const;
+
     /// Resumes replication on the members that may be paused. Call it every few tens of milliseconds while the holder
     /// of the failover lock knows the leader and no promotion can take effect; `fence` is its fencing token.
     void tick(std::uint64_t fence, instant now);
@@ -56,8 +60,9 @@
     std::set<std::string> paused_;   ///< Members whose replication may be paused.
     std::set<std::string> resuming_; ///< Those of them with a resume request in flight.
     std::map<std::string, instant>
-        may_pause_until_;                  ///< End of the time in which an unanswered request may be carried out.
-    std::uint64_t resumed_with_fence_ = 0; ///< Token under which all members were last resumed.
+        may_pause_until_; ///< End of the time in which an unanswered request may be carried out.
+    std::map<std::string, instant> may_resume_until_; ///< The same for unanswered requests to resume.
+    std::uint64_t resumed_with_fence_ = 0;            ///< Token under which all members were last resumed.
     instant next_look_{};
 };
 
--- a/tests/unanswered_orders_test.cc
+++ b/tests/unanswered_orders_test.cc
@@ -239,3 +239,19 @@
     }
     CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
 }
+
+TEST_CASE("a replica that may receive in spite of its pause is promoted if it has the whole log", "[orders]")
+{
+    // Guards against promoting another one: a request to resume without an answer may be carried out during the change,
+    // and what that replica lets the former primary acknowledge would be lost.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    simulation.delay_orders("m2", 1, 8s);
+    load.run(6s);
+    REQUIRE(simulation.leader() == "m0");
+    simulation.silence_member("m0");
+    REQUIRE(simulation.lock_holder());
+    const std::size_t holder = *simulation.lock_holder();
+    REQUIRE(run_until_promotion_ordered(simulation, load, holder));
+    CHECK(simulation.logged(holder, "promotion_ordered").back().find("member=m2 ") != std::string::npos);
+}
