Let a hand-over wait until orders for other members are void

What callers saw: shown by the test only. After a change whose first order had no answer, the successor was to be replaced while the store turned the holder of the lock away. The hand-over used the same token, and the old order made the leaving primary lead again, 5 s after it was sent (SyncReplicas 1 or more). Change: a hand-over starts once no order for another member than the successor can be carried out after its own. The draining primary serves meanwhile. With SyncReplicas 0 it doesn't wait: the leaving primary may end first. Evidence: "a hand-over waits until an earlier order for the leaving primary is void" failed without the check and passes with it.

--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -111,7 +111,7 @@
                  }},
                 {"may_hand_over",
                  [](const context& each) {
-                     return each.change.may_change(each.now) && each.change.least_lagging_candidate().has_value();
+                     return each.change.may_hand_over(each.now);
                  }},
                 {"peers_agree",
                  [](const context& each) {
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -180,6 +180,14 @@
     return best && (options_.sync_replicas() == 0 || orders_->allows(*best, now));
 }
 
+/// Whether a hand-over may start. Where commits must not be lost, orders for other members than the successor have to
+/// be void first, because one of them could be carried out after it.
+bool primary_change::may_hand_over(instant now) const
+{
+    const auto successor = least_lagging_candidate();
+    return may_change(now) && successor && (options_.sync_replicas() == 0 || orders_->allows(*successor, now));
+}
+
 /// Logs why no promotion can be ordered yet, and raises the token if that is an open order for another member.
 void primary_change::note_wait(instant now)
 {
--- a/tests/unanswered_orders_test.cc
+++ b/tests/unanswered_orders_test.cc
@@ -255,3 +255,35 @@
     REQUIRE(run_until_promotion_ordered(simulation, load, holder));
     CHECK(simulation.logged(holder, "promotion_ordered").back().find("member=m2 ") != std::string::npos);
 }
+
+TEST_CASE("a hand-over waits until an earlier order for the leaving primary is void", "[orders]")
+{
+    // Guards against handing over with the token of an order without an answer, which would make the former primary
+    // lead again after its successor: the token cannot be raised while the store turns the holder away.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(6s);
+    simulation.delay_promotions(5s);
+    const std::string first = simulation.leader();
+    simulation.silence_member(first);
+    REQUIRE(simulation.lock_holder());
+    const std::size_t holder = *simulation.lock_holder();
+    REQUIRE(run_until_promotion_ordered(simulation, load, holder));
+    simulation.delay_promotions(std::nullopt);
+    simulation.refuse_store(holder, true);
+    load.run(1500ms);
+    const std::string second = simulation.leader();
+    REQUIRE_FALSE(second.empty());
+    REQUIRE(second != first);
+    simulation.heal_member(first);
+    simulation.announce_drain(second);
+    bool handed_over = false;
+    for (const instant end = simulation.now() + 12s; simulation.now() < end;) {
+        load.run(5ms);
+        handed_over = handed_over || (!simulation.leader().empty() && simulation.leader() != second);
+        REQUIRE_FALSE((handed_over && simulation.leader() == second));
+    }
+    CHECK(handed_over);
+    CHECK(load.lost().empty());
+    CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
+}
