Split the guards of a change of primary from its actions

Change: guards() holds the guards; nothing else changes. Measured: [orders], [positions], [sync_commits] and [chart] pass.

--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -97,51 +97,55 @@
     return done{};
 }
 
+std::map<std::string, std::function<bool(const primary_change::context&)>> primary_change::guards()
+{
+    return {
+        {"may_change",
+         [](const context& each) {
+             return each.change.may_change(each.now);
+         }},
+        {"may_hand_over",
+         [](const context& each) {
+             return each.change.may_hand_over(each.now);
+         }},
+        {"peers_agree",
+         [](const context& each) {
+             return each.change.peers_agree(each.now);
+         }},
+        {"may_order",
+         [](const context& each) {
+             return each.change.may_order(each.now);
+         }},
+        {"may_leave_accepted",
+         [](const context& each) {
+             return each.change.may_leave_accepted();
+         }},
+        {"orders_closed",
+         [](const context& each) {
+             return each.change.orders_closed();
+         }},
+        {"may_end",
+         [](const context& each) {
+             return each.change.orders_closed() && each.change.options_.state().leadership.leader();
+         }},
+        {"leader_known",
+         [](const context& each) {
+             return each.change.options_.state().leadership.leader().has_value();
+         }},
+        {"relies_on_positions",
+         [](const context& each) {
+             return each.change.options_.sync_replicas() > 0 && !each.change.positions_.empty();
+         }},
+    };
+}
+
 chart_bindings<primary_change::context> primary_change::bindings()
 {
     return {
         .events = {"leader_silent", "leader_down", "leader_leaving", "leader_found", "peers_answered", "answers_due",
                    "positions_complete", "positions_due", "accepted", "refused", "unanswered", "lead_due",
                    "stepped_down", "step_failed", "caught_up", "catch_up_due", "duty_lost"},
-        .guards =
-            {
-                {"may_change",
-                 [](const context& each) {
-                     return each.change.may_change(each.now);
-                 }},
-                {"may_hand_over",
-                 [](const context& each) {
-                     return each.change.may_hand_over(each.now);
-                 }},
-                {"peers_agree",
-                 [](const context& each) {
-                     return each.change.peers_agree(each.now);
-                 }},
-                {"may_order",
-                 [](const context& each) {
-                     return each.change.may_order(each.now);
-                 }},
-                {"may_leave_accepted",
-                 [](const context& each) {
-                     return each.change.may_leave_accepted();
-                 }},
-                {"orders_closed",
-                 [](const context& each) {
-                     return each.change.orders_closed();
-                 }},
-                {"may_end",
-                 [](const context& each) {
-                     return each.change.orders_closed() && each.change.options_.state().leadership.leader();
-                 }},
-                {"leader_known",
-                 [](const context& each) {
-                     return each.change.options_.state().leadership.leader().has_value();
-                 }},
-                {"relies_on_positions",
-                 [](const context& each) {
-                     return each.change.options_.sync_replicas() > 0 && !each.change.positions_.empty();
-                 }},
-            },
+        .guards = guards(),
         .actions =
             {
                 {"ask_peers",
--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -108,6 +108,7 @@
     primary_change(primary_change_options options, member_pool& pool);
 
     result<done> bind();
+    static std::map<std::string, std::function<bool(const context&)>> guards();
     static chart_bindings<context> bindings();
     void fire(event what, instant now);
     void arm(const chart_timer& timer, instant now);
