--- a/src/pool/replication_status.h
+++ b/src/pool/replication_status.h
@@ -10,7 +10,8 @@
     bool leads = false;
     term_number term = 0;
     log_position received; ///< Position of the last log entry received; the member continues from it if promoted.
-    term_number paused_by = 0; ///< Term of the pause in force; 0: replication is not paused, or the member does not tell.
+    term_number paused_by =
+        0; ///< Term of the pause in force; 0: replication is not paused, or the member does not tell.
 
     friend auto operator<=>(const replication_status_fields&, const replication_status_fields&) = default;
 };
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -35,9 +35,10 @@
 class observed_service {
 public:
     observed_service()
-        : service({.members = {"a", "b"}, .replica_lag = 100ms, .status_row = [](bool, const log_position&, term_number) {
-                       return std::string();
-                   }})
+        : service(
+              {.members = {"a", "b"}, .replica_lag = 100ms, .status_row = [](bool, const log_position&, term_number) {
+                   return std::string();
+               }})
     {
         service.open("a", 1);
         service.open("b", 1);
