--- a/tests/sync_commits_test.cc
+++ b/tests/sync_commits_test.cc
@@ -172,8 +172,9 @@
 TEST_CASE("no acknowledged commit is lost by replicas that receive in spite of a pause", "[.known_red]")
 {
     // Guards against commits that a replica lets the former primary acknowledge while the promotion of another one is
-    // open: 1082, it has restarted; 1484, a request to resume of an earlier holder of the lock is carried out late.
-    for (const std::uint64_t seed : {1082U, 1484U}) {
+    // open: 1082 and 1581, it has restarted; 1484, a request to resume of an earlier holder of the lock is carried out
+    // late.
+    for (const std::uint64_t seed : {1082U, 1484U, 1581U}) {
         check_seed(seed);
     }
 }
