Bound what connections to members keep in bytes, not only in number

A connection was reset at 256 prepared shapes, whatever their length, and idle connections kept the values and shapes of sessions that had long ended. Change: a connection keeps at most 64 KiB of shapes, or one longer one. A connection that holds more than 64 KiB is reset before it becomes idle.

--- a/src/pool/member_pool.cc
+++ b/src/pool/member_pool.cc
@@ -13,6 +13,9 @@
 /// slot. Without the timeout a lost answer would occupy the connection for ever, and members accept few connections.
 constexpr duration internal_answer_timeout = std::chrono::milliseconds(800);
 
+/// Length of session values and prepared shapes above which a connection is reset before it becomes idle.
+constexpr std::size_t max_idle_bytes = 64 * 1024;
+
 /// Members that are listed later than this after the first ones have started since.
 constexpr duration first_list_time = std::chrono::seconds(2);
 
@@ -43,6 +46,10 @@
             .guards = {{"in_transaction",
                         [](const context& each) {
                             return each.pooled.transaction != transaction_state::none;
+                        }},
+                       {"keeps_much",
+                        [](const context& each) {
+                            return each.pooled.value_bytes + each.pooled.prepared_bytes > max_idle_bytes;
                         }}},
             .actions = {
                 {"make_idle",
@@ -65,6 +72,14 @@
                      };
                      each.pool.send_internal(each.pooled.number, {roll_back{}}, rolled_back, each.now);
                  }},
+                {"send_reset",
+                 [](context& each) {
+                     const auto ended = [&pool = each.pool,
+                                         number = each.pooled.number](const exchange_outcome& outcome, instant now) {
+                         pool.on_reset(number, outcome, now);
+                     };
+                     each.pool.send_internal(each.pooled.number, {reset_connection{}}, ended, each.now);
+                 }},
                 {"close_socket",
                  [](context& each) {
                      each.pool.hooks_.send(close_member_connection{{.connection = each.pooled.number}});
@@ -76,6 +91,21 @@
             }};
 }
 
+/// A connection that kept much has been reset, and becomes idle.
+void member_pool::on_reset(connection_number number, const exchange_outcome& outcome, instant now)
+{
+    pooled_connection* pooled = find(number);
+    const auto* reply = std::get_if<member_reply>(&outcome);
+    if (pooled == nullptr || reply == nullptr) {
+        return;
+    }
+    pooled->values.clear();
+    pooled->prepared.clear();
+    pooled->value_bytes = 0;
+    pooled->prepared_bytes = 0;
+    fire(*pooled, (*reply)->failure ? event::discard : event::rolled_back, now);
+}
+
 void member_pool::fire(pooled_connection& pooled, event what, instant now)
 {
     context each{.pool = *this, .pooled = pooled, .now = now};
--- a/src/pool/member_pool.h
+++ b/src/pool/member_pool.h
@@ -166,6 +166,7 @@
     result<done> bind();
     static chart_bindings<context> bindings();
     void fire(pooled_connection& pooled, event what, instant now);
+    void on_reset(connection_number number, const exchange_outcome& outcome, instant now);
     static void record_latency(pooled_member& target, const member_reply& reply, duration latency, instant now);
     void open(pooled_member& target, const std::string& tenant, instant now);
     void open_for(pooled_member& target, const std::string& tenant, instant now);
--- a/src/pool/member_statement.h
+++ b/src/pool/member_statement.h
@@ -71,6 +71,13 @@
     friend auto operator<=>(const prepare_statement&, const prepare_statement&) = default;
 };
 
+/// Drops a prepared shape of the connection.
+struct deallocate_statement {
+    std::string name;
+
+    friend auto operator<=>(const deallocate_statement&, const deallocate_statement&) = default;
+};
+
 /// Queries role and log position. It occupies a slot of the member, so it is used only during a change of primary.
 struct query_replication_status {
     friend auto operator<=>(const query_replication_status&, const query_replication_status&) = default;
@@ -97,7 +104,7 @@
 
 /// The statements that can be sent to a member on an open connection.
 using member_statement = std::variant<forwarded_statement, execute_prepared, begin_read_write, begin_read_only,
-                                      roll_back, reset_connection, set_value, prepare_statement,
+                                      roll_back, reset_connection, set_value, prepare_statement, deallocate_statement,
                                       query_replication_status, pause_replication, resume_replication, step_down>;
 
 } // namespace citronfall
--- a/src/pool/pooled_connection.h
+++ b/src/pool/pooled_connection.h
@@ -7,6 +7,7 @@
 #include "pool/session_values.h"
 #include "statement/transaction_state.h"
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -23,6 +24,8 @@
     transaction_state transaction = transaction_state::none; ///< As of the member's last answer.
     session_values values;                                   ///< Session values that are set on the connection.
     std::map<prepared_shape, std::string> prepared;          ///< Prepared shapes, with their names on the connection.
+    std::size_t value_bytes = 0;                             ///< Length of the values and their names.
+    std::size_t prepared_bytes = 0;                          ///< Length of the prepared shapes.
     std::deque<exchange> exchanges;    ///< Statements in flight, oldest first; the member answers in order.
     std::function<void(instant)> lost; ///< Called if the connection ends while no statement is in flight.
     instant opened_at{};               ///< Start of the connection attempt.
--- a/tests/misbehaving_clients_test.cc
+++ b/tests/misbehaving_clients_test.cc
@@ -216,6 +216,7 @@
 /// Clients that together let a process without bounds keep more than its memory.
 constexpr std::size_t clients_that_keep = 4;
 constexpr int long_statements = 40;
+constexpr int long_executions = 160;
 
 /// Clients that wait for each answer before they send on, so that no bound on unanswered statements or unsent answers
 /// concerns them. One that is disconnected connects again.
@@ -326,6 +327,32 @@
     check_bounded(process);
 }
 
+TEST_CASE("a client that runs many long prepared shapes is borne", "[clients]")
+{
+    // Guards against what connections to members keep of shapes that no session holds any more (review/10). The session
+    // keeps one shape at a time, so the bound on sessions does not concern it.
+    observed_process process(CITRONFALLD, {});
+    patient_clients clients(process, 1);
+    for (int i = 0; i < long_executions; ++i) {
+        clients.send({"PREPARE s1 READ " + long_shape(i)});
+        clients.send({"EXECUTE s1 x"});
+    }
+    check_bounded(process);
+}
+
+TEST_CASE("a client that runs many long prepared shapes in a transaction is borne", "[clients]")
+{
+    // Guards against bounds that hold only between transactions: in one, a connection to a member cannot be reset.
+    observed_process process(CITRONFALLD, {});
+    patient_clients clients(process, 1);
+    clients.send({"BEGIN"});
+    for (int i = 0; i < long_executions; ++i) {
+        clients.send({"PREPARE s1 READ " + long_shape(i)});
+        clients.send({"EXECUTE s1 x"});
+    }
+    check_bounded(process);
+}
+
 TEST_CASE("a single long session value and a single long shape are kept", "[clients]")
 {
     // Guards against bounds that hit a client that stays inside the protocol's.
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -272,6 +272,7 @@
     CHECK(line("", step_down{.term = 4}) == "QUERY - STEPDOWN 4\r\n");
     CHECK(line("", prepare_statement{.name = "c1", .shape = prepared_shape{{.shape = "q", .writes = true}}}) ==
           "QUERY - PREPARE c1 WRITE q\r\n");
+    CHECK(line("", deallocate_statement{.name = "c1"}) == "QUERY - DEALLOCATE c1\r\n");
 }
 
 TEST_CASE("the status row of a member is parsed, and a malformed one refused", "[platform_codec]")
--- a/tools/standin/service_model.cc
+++ b/tools/standin/service_model.cc
@@ -119,6 +119,8 @@
         connection.values[value->name] = value->value;
     } else if (const auto* shape = std::get_if<prepare_statement>(&body)) {
         connection.prepared[shape->name] = shape->shape->writes;
+    } else if (const auto* dropped = std::get_if<deallocate_statement>(&body)) {
+        connection.prepared.erase(dropped->name);
     } else {
         if (const auto* order = std::get_if<step_down>(&body);
             order != nullptr && member.leads && order->term > committed_->term) {
