--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -34,11 +34,13 @@
 /// A service with leader "a" and replica "b", which lags by 100 ms, and the history that callers recorded.
 class observed_service {
 public:
-    observed_service()
-        : service(
-              {.members = {"a", "b"}, .replica_lag = 100ms, .status_row = [](bool, const log_position&, term_number) {
-                   return std::string();
-               }})
+    explicit observed_service(std::size_t sync_replicas = 0)
+        : service({.members = {"a", "b"},
+                   .replica_lag = 100ms,
+                   .sync_replicas = sync_replicas,
+                   .status_row = [](bool, const log_position&, term_number) {
+                       return std::string();
+                   }})
     {
         service.open("a", 1);
         service.open("b", 1);
@@ -378,6 +380,24 @@
     CHECK(report.violations == std::vector<std::string>{});
 }
 
+TEST_CASE("the checker finds acknowledged commits that a change of primary dropped", "[soak]")
+{
+    // Guards against a soak that passes although a member was promoted without them. With commits that do not wait for
+    // replicas this is allowed.
+    for (const std::size_t sync_replicas : {0U, 1U}) {
+        observed_service seen(sync_replicas);
+        seen.record(seen.run("a", "w1", recorded_verb::write, start));
+        CHECK(seen.service.promote("b", start + 10ms));
+        CHECK(seen.service.received_by("b", start + 90ms)->index == 0); // The write has not reached it.
+        seen.service.crash("a");
+        seen.service.advance(start + 90ms);
+        CHECK(seen.first_violation().empty());
+        seen.service.set_replica_lag(1s);
+        seen.service.advance(start + 320ms);
+        CHECK(seen.first_violation() == (sync_replicas > 0 ? "lost" : ""));
+    }
+}
+
 TEST_CASE("a fault plan is deterministic by seed and ends within the run", "[soak]")
 {
     const fault_plan_options options{.seed = 5, .length = 20s};
@@ -402,3 +422,20 @@
         CHECK(report.violations == std::vector<std::string>{});
     }
 }
+
+TEST_CASE("daemons lose no commit that replicas have, while orders are carried out late", "[soak]")
+{
+    // A short sample of seeds; run citronsoak with --sync-replicas 1 --late-orders for more. Add seeds that failed,
+    // with the cause.
+    for (const std::uint64_t seed : {3U, 4U}) {
+        INFO("seed " << seed);
+        const auto report = run_soak({.program = CITRONFALLD,
+                                      .folder = "/tmp/citronfall-soak-sync-" + std::to_string(::getpid()),
+                                      .seed = seed,
+                                      .length = 12s,
+                                      .sync_replicas = 1,
+                                      .plan = plan_kind::late_orders});
+        CHECK(report.operations > 100);
+        CHECK(report.violations == std::vector<std::string>{});
+    }
+}
--- a/tools/citronsoak.cc
+++ b/tools/citronsoak.cc
@@ -43,6 +43,10 @@
     TCLAP::ValueArg<std::size_t> callers("", "callers", "number of callers", false, 12, "NUMBER", parser);
     TCLAP::ValueArg<std::uint32_t> connections("", "connections", "connections that a member accepts", false, 20,
                                                "NUMBER", parser);
+    TCLAP::ValueArg<std::uint32_t> sync(
+        "", "sync-replicas", "replicas that must have a commit before its acknowledgement", false, 0, "NUMBER", parser);
+    TCLAP::SwitchArg late("", "late-orders",
+                          "beside the other faults, orders without an answer that are carried out late", parser);
     TCLAP::SwitchArg planned("", "planned-work", "shutdowns, reloads and changes of the configuration only", parser);
     TCLAP::ValueArg<unsigned> signal_age("", "signal-age", "age from which a daemon gets signals; earlier ones wait",
                                          false, 0, "MS", parser);
@@ -59,7 +63,9 @@
                     .members = members.getValue(),
                     .callers = callers.getValue(),
                     .max_connections = connections.getValue(),
+                    .sync_replicas = sync.getValue(),
                     .plan = planned.getValue() ? citronfall::soak::plan_kind::planned_work
+                            : late.getValue()  ? citronfall::soak::plan_kind::late_orders
                                                : citronfall::soak::plan_kind::faults,
                     .signal_age = std::chrono::milliseconds(signal_age.getValue())}};
 }
--- a/tools/soak/fault_plan.cc
+++ b/tools/soak/fault_plan.cc
@@ -7,10 +7,11 @@
 namespace citronfall::soak {
 namespace {
 
+/// Kinds of plan_kind::faults; further ones come after them, so that the plans of a seed stay what they were.
 constexpr std::size_t kind_count = 12;
-constexpr std::array<const char*, kind_count> names = {
-    "kill_daemon", "stop_daemon", "pause_daemon", "hang_up_daemon", "store",       "store_history",
-    "store_link",  "member_link", "crash_member", "drain_member",   "replica_lag", "configure"};
+constexpr std::array<const char*, kind_count + 1> names = {
+    "kill_daemon", "stop_daemon",  "pause_daemon", "hang_up_daemon", "store",     "store_history", "store_link",
+    "member_link", "crash_member", "drain_member", "replica_lag",    "configure", "late_orders"};
 
 /// Mean time between the starts of faults. Most faults last longer, so they overlap.
 constexpr std::int64_t mean_gap_ms = 600;
@@ -100,7 +101,9 @@
     std::int64_t at = 0;
     while (true) {
         at += static_cast<std::int64_t>(below(2 * mean_gap_ms));
-        const auto kind = static_cast<fault_kind>(below(kind_count));
+        // One in five is a window of late orders, since it takes other faults in it to cause a change of primary.
+        const bool late = options.kind == plan_kind::late_orders && below(5) == 0;
+        const auto kind = late ? fault_kind::late_orders : static_cast<fault_kind>(below(kind_count));
         const std::size_t repeats = below(series_odds) == 0 ? longest_series : 1;
         const std::size_t first = below(options.daemons * options.members);
         const auto span = shortest_ms + static_cast<std::int64_t>(below(longest_ms - shortest_ms));
--- a/tools/soak/fault_plan.h
+++ b/tools/soak/fault_plan.h
@@ -22,7 +22,8 @@
     crash_member,
     drain_member, ///< The member announces that it drains, and later withdraws that.
     replica_lag,
-    configure, ///< Operators change the configuration.
+    configure,   ///< Operators change the configuration.
+    late_orders, ///< Some orders to members and promotions get no answer and are carried out late.
 };
 
 /// Name for reports. Thread-safe.
@@ -30,7 +31,8 @@
 
 /// What a plan consists of.
 enum class plan_kind {
-    faults,       ///< Planned work and unplanned faults.
+    faults,       ///< Planned work and unplanned faults, but for late orders.
+    late_orders,  ///< The same, and late orders.
     planned_work, ///< Shutdowns, reloads and changes of the configuration only.
 };
 
@@ -57,9 +59,8 @@
     plan_kind kind = plan_kind::faults;
 };
 
-/// Generates faults, those of plan_kind::faults in order of time; some come in series, and they overlap. Deterministic
-/// for the same options.
-/// Thread-safe.
+/// Generates faults, but for those of plan_kind::planned_work in order of time; some come in series, and they overlap.
+/// Deterministic for the same options. Thread-safe.
 [[nodiscard]] std::vector<planned_fault> make_fault_plan(const fault_plan_options& options);
 
 /// Describes a fault in one line for reports. Thread-safe.
--- a/tools/soak/soak_checker.cc
+++ b/tools/soak/soak_checker.cc
@@ -25,7 +25,7 @@
 public:
     history_check(const std::vector<recorded_operation>& history, const standin::service_model& service,
                   duration max_staleness)
-        : history_(history), max_staleness_(max_staleness)
+        : history_(history), max_staleness_(max_staleness), keeps_commits_(service.sync_replicas() > 0)
     {
         for (const log_entry& each : service.log()) {
             for (const auto& [item, value] : each.changes) {
@@ -106,9 +106,13 @@
             if (logged > 0 && last != nullptr && last->promises_no_effect) {
                 add_violation("kept_though_refused", each, *last->error_code);
             }
-            if (logged == 0 && last != nullptr && last->succeeded() && each.succeeded()) {
+            const bool acknowledged_commit = last != nullptr && last->succeeded() && each.succeeded();
+            if (logged == 0 && acknowledged_commit) {
                 add_violation("lost", each);
             }
+            if (logged > 0 && acknowledged_commit && keeps_commits_ && found->second.front()->rolled_back) {
+                add_violation("lost", each, "not in the log of the member that was promoted");
+            }
         }
     }
 
@@ -196,6 +200,7 @@
 
     const std::vector<recorded_operation>& history_;
     duration max_staleness_;
+    bool keeps_commits_; ///< Commits wait for replicas, so that a change of primary must not drop them.
     std::map<std::string, std::vector<const log_entry*>> entries_; ///< Log entries by written value.
     std::map<std::string, const statement_run*> runs_by_receipt_;
     std::vector<acknowledged> commits_;
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -179,7 +179,9 @@
         .promotion_address = promotion_address_,
         .members = members,
         .max_connections = options_.max_connections,
-        .configuration = standin::sample_deployment(version_, options_.max_connections, {}, statement_timeout())};
+        .sync_replicas = options_.sync_replicas,
+        .configuration = standin::sample_deployment(version_, options_.max_connections, {}, statement_timeout(),
+                                                    options_.sync_replicas)};
     if (options_.plan == plan_kind::planned_work) {
         platform_options.service_time = mixed_run_time;
         platform_options.slots = planned_work_slots;
@@ -252,6 +254,7 @@
 {
     constexpr std::size_t store_ways = 4;
     constexpr std::size_t link_ways = 4;
+    constexpr std::size_t late_order_ways = 3; // All, a half or a third of the orders are late.
     const auto link = static_cast<link_fault>(1 + fault.variant % link_ways);
     record_conditions(fault);
     switch (fault.kind) {
@@ -281,6 +284,9 @@
     case fault_kind::configure:
         change_configuration();
         break;
+    case fault_kind::late_orders:
+        platform_->delay_orders(1.0 / static_cast<double>(1 + fault.variant % late_order_ways));
+        break;
     }
 }
 
@@ -349,6 +355,9 @@
     case fault_kind::replica_lag:
         platform_->set_replica_lag(10ms);
         break;
+    case fault_kind::late_orders:
+        platform_->delay_orders(0);
+        break;
     case fault_kind::kill_daemon:
     case fault_kind::stop_daemon:
     case fault_kind::pause_daemon:
@@ -363,7 +372,8 @@
 {
     extra_route_ = !extra_route_;
     const std::vector<std::string> more = extra_route_ ? std::vector<std::string>{"extra"} : std::vector<std::string>{};
-    platform_->configure(standin::sample_deployment(++version_, options_.max_connections, more, statement_timeout()));
+    platform_->configure(standin::sample_deployment(++version_, options_.max_connections, more, statement_timeout(),
+                                                    options_.sync_replicas));
 }
 
 bool soak_environment::serves(std::size_t daemon, const std::string& database)
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -21,6 +21,7 @@
     std::size_t members = 3;
     std::size_t callers = 12;
     std::uint32_t max_connections = 20; ///< Connections that a member accepts.
+    std::uint32_t sync_replicas = 0;    ///< Replicas that must have received a commit before it is acknowledged.
     plan_kind plan = plan_kind::faults;
     duration signal_age{}; ///< Age from which a daemon gets signals; earlier ones are sent then.
 };
--- a/tools/standin/sample_deployment.cc
+++ b/tools/standin/sample_deployment.cc
@@ -22,7 +22,8 @@
 } // namespace
 
 service_configuration sample_deployment(std::uint64_t version, std::uint32_t max_connections,
-                                        const std::vector<std::string>& more_databases, duration statement_timeout)
+                                        const std::vector<std::string>& more_databases, duration statement_timeout,
+                                        std::uint32_t sync_replicas)
 {
     service_configuration_fields fields{.version = version, .idle_transaction_limit = std::chrono::seconds(3)};
     fields.routes["fresh"] = route_to("fresh", read_consistency::primary, statement_timeout);
@@ -31,7 +32,8 @@
     for (const std::string& each : more_databases) {
         fields.routes[each] = route_to(each, read_consistency::read_your_writes, statement_timeout);
     }
-    fields.services[service] = service_policy{{.name = service, .max_connections = max_connections}};
+    fields.services[service] =
+        service_policy{{.name = service, .max_connections = max_connections, .sync_replicas = sync_replicas}};
     return service_configuration{std::move(fields)};
 }
 
--- a/tools/standin/sample_deployment.h
+++ b/tools/standin/sample_deployment.h
@@ -16,6 +16,7 @@
 /// (bounded staleness) and "own" (read your writes). The databases in `more_databases` are like "own". Thread-safe.
 [[nodiscard]] service_configuration sample_deployment(std::uint64_t version, std::uint32_t max_connections,
                                                       const std::vector<std::string>& more_databases = {},
-                                                      duration statement_timeout = std::chrono::milliseconds(800));
+                                                      duration statement_timeout = std::chrono::milliseconds(800),
+                                                      std::uint32_t sync_replicas = 0);
 
 } // namespace citronfall::standin
--- a/tools/standin/service_model.h
+++ b/tools/standin/service_model.h
@@ -87,6 +87,7 @@
 
     void set_replica_lag(duration lag) { options_.replica_lag = lag; }
     [[nodiscard]] const std::string& name() const { return options_.name; }
+    [[nodiscard]] std::size_t sync_replicas() const { return options_.sync_replicas; }
     [[nodiscard]] bool up(const std::string& member) const { return members_.at(member).up; }
     [[nodiscard]] std::optional<std::string> leader() const; ///< Nothing if it is down.
     [[nodiscard]] bool paused(const std::string& member) const { return members_.at(member).paused_at.has_value(); }
