--- a/src/overload/memory_plan.h
+++ b/src/overload/memory_plan.h
@@ -8,10 +8,9 @@
 
 /// Fields of a memory plan. Limits in bytes.
 struct memory_plan_fields {
-    std::size_t caller_input = 0;  ///< Messages of callers that are incomplete or not answered.
-    std::size_t caller_output = 0; ///< Answers that callers have not taken yet.
-    std::size_t session_state =
-        0; ///< What sessions keep beyond an answer: values, prepared shapes, words of their start.
+    std::size_t caller_input = 0;   ///< Messages of callers that are incomplete or not answered.
+    std::size_t caller_output = 0;  ///< Answers that callers have not taken yet.
+    std::size_t session_state = 0;  ///< Values, prepared shapes and words of their start that sessions keep.
     std::size_t member_answers = 0; ///< Answers of members that are incomplete.
     std::size_t peer_input = 0;     ///< Messages of other daemons that are incomplete.
     std::size_t peer_output = 0;    ///< Messages that other daemons have not taken yet.
--- a/src/primary_change/outstanding_promotions.cc
+++ b/src/primary_change/outstanding_promotions.cc
@@ -153,13 +153,12 @@
     const auto fence = options_.fence(now);
     const auto& leader = options_.state().leadership.leader();
     if (fence && leader) {
-        shown_by_ = order(*leader, *fence, now);
+        shown_by_ = order(*leader, *fence);
     }
 }
 
-call_number outstanding_promotions::order(const std::string& member, std::uint64_t fence, instant now)
+call_number outstanding_promotions::order(const std::string& member, std::uint64_t fence)
 {
-    static_cast<void>(now);
     const call_number number = options_.call(
         promote_member{{.service = options_.service, .member = member, .holder = options_.daemon, .fence = fence}},
         order_timeout);
--- a/src/primary_change/outstanding_promotions.h
+++ b/src/primary_change/outstanding_promotions.h
@@ -50,7 +50,7 @@
 
     /// Orders the promotion of a member. Returns the number of the call, whose answer has to be passed to handle().
     /// Precondition: `fence` is the present token.
-    call_number order(const std::string& member, std::uint64_t fence, instant now);
+    call_number order(const std::string& member, std::uint64_t fence);
 
     /// Handles an answer of the platform. Returns false, without effect, if the call was not made by this object.
     bool handle(const store_answer& answer, instant now);
--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -383,7 +383,7 @@
     }
     ordered_member_ = successor_;
     ordered_fence_ = *fence;
-    pending_call_ = orders_->order(successor_, *fence, now);
+    pending_call_ = orders_->order(successor_, *fence);
 }
 
 bool primary_change::handle(const store_answer& answer, instant now)
--- a/tests/outstanding_promotions_test.cc
+++ b/tests/outstanding_promotions_test.cc
@@ -77,7 +77,7 @@
     observed_promotions each(0);
     each.run(100ms);
     CHECK(each.orders.empty());
-    each.promotions->order("replica", 5, each.now);
+    each.promotions->order("replica", 5);
     each.answer(1, call_outcome::unanswered);
     each.run(100ms);
     CHECK(each.raises > 0);
@@ -98,7 +98,7 @@
 {
     // Guards against leaving an order for a primary that may be another one when the order is carried out.
     observed_promotions each(0);
-    each.promotions->order("replica", 5, each.now);
+    each.promotions->order("replica", 5);
     each.answer(1, call_outcome::unanswered);
     each.token = 8;
     each.run(100ms);
@@ -119,7 +119,7 @@
 {
     observed_promotions each(0);
     for (const call_outcome outcome : {call_outcome::conflict, call_outcome::refused}) {
-        each.promotions->order("replica", 5, each.now);
+        each.promotions->order("replica", 5);
         each.answer(each.orders.size(), outcome);
         CHECK(each.promotions->open().empty());
     }
@@ -130,7 +130,7 @@
     // Guards against two open orders that the platform would both accept, in any order.
     observed_promotions each(1);
     each.run(100ms);
-    each.promotions->order("replica", 5, each.now);
+    each.promotions->order("replica", 5);
     CHECK(each.promotions->allows("replica", each.now));
     CHECK_FALSE(each.promotions->allows("other", each.now)); // Also while the order is in flight.
     each.answer(1, call_outcome::unanswered);
--- a/tests/unanswered_orders_test.cc
+++ b/tests/unanswered_orders_test.cc
@@ -310,3 +310,26 @@
         CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
     }
 }
+
+TEST_CASE("writes are served in time after all daemons were killed during a change of primary", "[orders]")
+{
+    // Guards against replicas that stay paused for longer than a recovery may take: the daemons that start know nothing
+    // of the promotion that was ordered, and the former primary is back.
+    constexpr duration recovery_limit = 12s;
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(6s);
+    const std::string primary = simulation.leader();
+    simulation.delay_promotions(late);
+    simulation.silence_member(primary);
+    REQUIRE(simulation.lock_holder());
+    REQUIRE(run_until_promotion_ordered(simulation, load, *simulation.lock_holder()));
+    simulation.delay_promotions(std::nullopt);
+    simulation.heal_member(primary);
+    simulation.restart_all_daemons();
+    load.run(recovery_limit);
+    const instant recovered = simulation.now();
+    load.run(2s);
+    CHECK(load.acknowledged_since(recovered) > 100);
+    CHECK(load.lost().empty());
+}
