Make earlier orders void at once where a change was left unfinished

A holder of the lock ended or stood still while its order was open, the former primary came back, and a replica received again because it had restarted or a RESUME was carried out late. Until then the earlier order stayed valid, and no write was acknowledged. Change: a holder looks at the replicas at once. If one is paused, a change was left unfinished, and the token is shown without the wait. The same holds after a change of its own that ended with the former primary. A replica that restarts before the token is shown can still let a commit be acknowledged that an earlier order drops.

--- a/src/primary_change/outstanding_promotions.cc
+++ b/src/primary_change/outstanding_promotions.cc
@@ -139,7 +139,9 @@
     if (!unanswered_.empty()) {
         return seen_fence_ < fence;
     }
-    return options_.sync_replicas() > 0 && seen_fence_ < *acquired_fence_ && now - held_since_ >= min_hold_time;
+    // A paused replica tells of a change that this or an earlier holder did not finish: writes wait for its end.
+    const bool may_show = now - held_since_ >= min_hold_time || options_.paused_since(held_since_);
+    return options_.sync_replicas() > 0 && seen_fence_ < *acquired_fence_ && may_show;
 }
 
 bool outstanding_promotions::has_open_order_from(std::uint64_t fence) const
--- a/src/primary_change/outstanding_promotions.h
+++ b/src/primary_change/outstanding_promotions.h
@@ -27,6 +27,7 @@
     std::function<call_number(call_body, duration timeout)> call;
     std::function<service_state&()> state;
     std::function<std::uint32_t()> sync_replicas;
+    std::function<bool(instant)> paused_since; ///< Whether a replica was asked to pause, or found paused, since then.
     std::function<void(const std::string&, const std::string&)> log; ///< Event name, fields.
 };
 
--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -75,15 +75,17 @@
 
 result<done> primary_change::bind()
 {
-    auto orders = outstanding_promotions::make({.service = options_.service,
-                                                .daemon = options_.daemon,
-                                                .fence = options_.fence,
-                                                .raise_fence = options_.raise_fence,
-                                                .fence_refused = options_.fence_refused,
-                                                .call = options_.call,
-                                                .state = options_.state,
-                                                .sync_replicas = options_.sync_replicas,
-                                                .log = options_.log});
+    auto orders =
+        outstanding_promotions::make({.service = options_.service,
+                                      .daemon = options_.daemon,
+                                      .fence = options_.fence,
+                                      .raise_fence = options_.raise_fence,
+                                      .fence_refused = options_.fence_refused,
+                                      .call = options_.call,
+                                      .state = options_.state,
+                                      .sync_replicas = options_.sync_replicas,
+                                      .paused_since = [this](instant since) { return pauses_.paused_since(since); },
+                                      .log = options_.log});
     if (!ok(orders)) {
         return error_of(orders);
     }
@@ -263,7 +265,9 @@
         return; // Replication may be paused for a change that another daemon runs.
     }
     if (options_.sync_replicas() > 0 && !orders_->settled(now)) {
-        return; // The primary must not acknowledge commits that an earlier promotion would drop.
+        pauses_.look_at_replicas(
+            now); // Those of a change that another daemon did not finish hurry the promotions' end.
+        return;   // The primary must not acknowledge commits that an earlier promotion would drop.
     }
     pauses_.tick(*fence, now);
 }
--- a/src/primary_change/primary_change_positions.cc
+++ b/src/primary_change/primary_change_positions.cc
@@ -93,7 +93,7 @@
         // If replication went on, the old primary could still acknowledge commits after this position was read.
         pause_term = options_.state().leadership.term() + 1;
         status_query = pause_replication{.term = pause_term};
-        pauses_.asked(member);
+        pauses_.asked(member, now);
     }
     pool_.send_internal(
         connection, {status_query},
--- a/src/primary_change/replica_pauses.cc
+++ b/src/primary_change/replica_pauses.cc
@@ -117,6 +117,7 @@
     if (ok(status) && value_of(status)->paused_by > 0) {
         options_.log("replica_paused", "service=" + options_.service + " member=" + member +
                                            " by_term=" + std::to_string(value_of(status)->paused_by));
+        paused_at_ = now;
         paused_.insert(member);
     }
 }
--- a/src/primary_change/replica_pauses.h
+++ b/src/primary_change/replica_pauses.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -33,7 +34,11 @@
     replica_pauses(replica_pauses_options options, member_pool& pool) : options_(std::move(options)), pool_(pool) {}
 
     /// A change has asked the member to pause.
-    void asked(const std::string& member) { paused_.insert(member); }
+    void asked(const std::string& member, instant now)
+    {
+        paused_.insert(member);
+        paused_at_ = now;
+    }
 
     /// A request to pause got no answer; it may still be carried out.
     void unanswered(const std::string& member, instant now);
@@ -42,6 +47,13 @@
     /// since.
     [[nodiscard]] bool may_resume(const std::string& member, instant now) const;
 
+    /// Asks replicas whether they are paused, if that is due. Call it every few tens of milliseconds while replication
+    /// must not be resumed yet; tick() does it as well.
+    void look_at_replicas(instant now);
+
+    /// Whether a replica was asked to pause, or found paused, since `since`.
+    [[nodiscard]] bool paused_since(instant since) const { return paused_at_ && *paused_at_ >= since; }
+
     /// Resumes replication on the members that may be paused. Call it every few tens of milliseconds while the holder
     /// of the failover lock knows the leader and no promotion can take effect; `fence` is its fencing token.
     void tick(std::uint64_t fence, instant now);
@@ -50,7 +62,6 @@
     void resume(const std::string& member, instant now);
     void on_resumed(const std::string& member, connection_number connection, const exchange_outcome& outcome,
                     instant now);
-    void look_at_replicas(instant now);
     void look_at(const std::string& member, instant now);
     void on_status(const std::string& member, connection_number connection, const exchange_outcome& outcome,
                    instant now);
@@ -64,6 +75,7 @@
     std::map<std::string, instant> may_resume_until_; ///< The same for unanswered requests to resume.
     std::uint64_t resumed_with_fence_ = 0;            ///< Token under which all members were last resumed.
     instant next_look_{};
+    std::optional<instant> paused_at_; ///< When a replica was last asked to pause or found paused.
 };
 
 } // namespace citronfall
--- a/tests/outstanding_promotions_test.cc
+++ b/tests/outstanding_promotions_test.cc
@@ -19,21 +19,23 @@
 public:
     explicit observed_promotions(std::uint32_t sync_replicas)
     {
-        auto made = outstanding_promotions::make({.service = "ledger",
-                                                  .daemon = "d0",
-                                                  .fence = [this](instant) { return token; },
-                                                  .raise_fence = [this](instant) { ++raises; },
-                                                  .fence_refused = [this](std::uint64_t fence) { refused = fence; },
-                                                  .call =
-                                                      [this](const call_body& body, duration) {
-                                                          orders.push_back(std::get<promote_member>(body));
-                                                          return call_number{orders.size()};
-                                                      },
-                                                  .state = [this]() -> service_state& { return state; },
-                                                  .sync_replicas = [sync_replicas] { return sync_replicas; },
-                                                  .log =
-                                                      [](const std::string&, const std::string&) {
-                                                      }});
+        auto made = outstanding_promotions::make(
+            {.service = "ledger",
+             .daemon = "d0",
+             .fence = [this](instant) { return token; },
+             .raise_fence = [this](instant) { ++raises; },
+             .fence_refused = [this](std::uint64_t fence) { refused = fence; },
+             .call =
+                 [this](const call_body& body, duration) {
+                     orders.push_back(std::get<promote_member>(body));
+                     return call_number{orders.size()};
+                 },
+             .state = [this]() -> service_state& { return state; },
+             .sync_replicas = [sync_replicas] { return sync_replicas; },
+             .paused_since = [this](instant since) { return paused_at && *paused_at >= since; },
+             .log =
+                 [](const std::string&, const std::string&) {
+                 }});
         REQUIRE(ok(made));
         promotions = take(std::move(made));
         lead("primary");
@@ -63,6 +65,7 @@
     instant now{1000s};
     std::optional<std::uint64_t> token = 5;
     unsigned raises = 0;
+    std::optional<instant> paused_at; ///< When a replica was last found paused.
     std::optional<std::uint64_t> refused;
     std::vector<promote_member> orders;
     service_state state;
@@ -161,6 +164,19 @@
     CHECK_FALSE(each.promotions->settled(each.now));
 }
 
+TEST_CASE("a new holder of the lock that finds a replica paused makes earlier orders void at once", "[orders]")
+{
+    // Guards against seconds without writes, and against the time in which a replica that restarts could let the former
+    // primary acknowledge what an order of the earlier holder drops.
+    observed_promotions each(1);
+    each.paused_at = each.now - 1s; // Before the lock was taken, which tells nothing.
+    each.run(500ms);
+    CHECK(each.orders.empty());
+    each.paused_at = each.now;
+    each.run(100ms);
+    CHECK(each.orders.size() == 1);
+}
+
 TEST_CASE("a holder of the lock orders nothing without need where commits do not wait for replicas", "[orders]")
 {
     observed_promotions each(0);
