Let the ordered member receive while its promotion is open

Cause: all replicas stayed paused. Only what other members receive has to be prevented: the ordered one leads with what it has received. Change: once no other promotion can take effect (tokens of earlier holders seen, none of this one's for another member), the ordered member is resumed. A primary that is back has commits acknowledged by it alone, and they are in its log when it leads. Evidence: "a primary that returns while a promotion is open has its writes acknowledged" failed (0 acknowledged) and passes.

--- a/src/primary_change/outstanding_promotions.cc
+++ b/src/primary_change/outstanding_promotions.cc
@@ -69,7 +69,6 @@
                  }},
                 {"note_void",
                  [](context& each) {
-                     each.orders.settled_at_ = each.now + effect_time;
                      each.orders.options_.log("promotions_void", "service=" + each.orders.options_.service + " fence=" +
                                                                      std::to_string(each.orders.seen_fence_));
                  }},
@@ -180,7 +179,7 @@
     calls_.erase(found);
     switch (answer->outcome) {
     case call_outcome::done:
-        note_accepted(ordered->fence);
+        note_accepted(ordered, now);
         break;
     case call_outcome::conflict:
     case call_outcome::refused:
@@ -214,18 +213,24 @@
     }
 }
 
-/// The platform has seen the token, so orders with lower ones are void.
-void outstanding_promotions::note_accepted(std::uint64_t fence)
+/// The platform has seen the token, so orders with lower ones are void, unless they were accepted just before.
+void outstanding_promotions::note_accepted(const open_promotion& accepted, instant now)
 {
     consecutive_refusals_ = 0;
-    seen_fence_ = std::max(seen_fence_, fence);
+    const bool first = acquired_fence_ && seen_fence_ < *acquired_fence_; // Earlier holders' orders end here.
+    seen_fence_ = std::max(seen_fence_, accepted->fence);
+    const std::size_t ended = std::erase_if(
+        unanswered_, [&](const auto& each) { return each.second < seen_fence_ && each.first != accepted->member; });
     std::erase_if(unanswered_, [this](const auto& each) { return each.second < seen_fence_; });
+    if (first || ended > 0) {
+        settled_at_ = now + effect_time;
+    }
 }
 
 void outstanding_promotions::took_effect(std::uint64_t fence, instant now)
 {
-    note_accepted(fence);
-    settled_at_ = now;
+    note_accepted(open_promotion{{.member = options_.state().leadership.last_leader(), .fence = fence}}, now);
+    settled_at_ = now; // It took effect after those that were accepted before it.
 }
 
 void outstanding_promotions::note_refusal(std::uint64_t fence, instant now)
@@ -247,14 +252,19 @@
            });
 }
 
-bool outstanding_promotions::settled(instant now) const
+bool outstanding_promotions::only(const std::string& member, instant now) const
 {
-    const auto& leader = options_.state().leadership.leader();
-    if (!leader || !options_.fence(now) || !acquired_fence_ || seen_fence_ < *acquired_fence_ || now < settled_at_) {
+    if (!options_.fence(now) || !acquired_fence_ || seen_fence_ < *acquired_fence_ || now < settled_at_) {
         return false;
     }
     const std::vector<open_promotion> all = open();
-    return std::all_of(all.begin(), all.end(), [&](const open_promotion& each) { return each->member == *leader; });
+    return std::all_of(all.begin(), all.end(), [&](const open_promotion& each) { return each->member == member; });
+}
+
+bool outstanding_promotions::settled(instant now) const
+{
+    const auto& leader = options_.state().leadership.leader();
+    return leader && only(*leader, now);
 }
 
 std::vector<open_promotion> outstanding_promotions::open() const
--- a/src/primary_change/outstanding_promotions.h
+++ b/src/primary_change/outstanding_promotions.h
@@ -69,8 +69,11 @@
     /// Whether no order for another member than `member` could be carried out after one with the present token.
     [[nodiscard]] bool allows(const std::string& member, instant now) const;
 
-    /// Whether no order, of this or an earlier holder of the lock, can replace the present primary any more. False
-    /// without the lock.
+    /// Whether no promotion, ordered by this or an earlier holder of the lock, can take effect any more but that of
+    /// `member`. False without the lock.
+    [[nodiscard]] bool only(const std::string& member, instant now) const;
+
+    /// The same of the present primary: no order can replace it any more. False if it is not known.
     [[nodiscard]] bool settled(instant now) const;
 
     /// Orders that may still be carried out, at most one for each member; for logs and tests.
@@ -97,7 +100,7 @@
     static chart_bindings<context> bindings();
     void fire(event what, instant now);
     void show_token(instant now);
-    void note_accepted(std::uint64_t fence);
+    void note_accepted(const open_promotion& accepted, instant now);
     void note_shown(call_outcome outcome, instant now);
     [[nodiscard]] bool must_show(std::uint64_t fence, instant now) const;
     [[nodiscard]] bool knows_leader(instant now) const;
--- a/src/primary_change/primary_change.cc
+++ b/src/primary_change/primary_change.cc
@@ -247,7 +247,9 @@
     if (in_progress()) {
         if (!options_.fence(now)) {
             fire(event::duty_lost, now);
+            return;
         }
+        resume_ordered(now);
         return;
     }
     orders_->tick(now);
@@ -257,6 +259,17 @@
     }
 }
 
+/// Resumes replication on the ordered member alone while its promotion is open: a former primary that is back can then
+/// have commits acknowledged by it, and they are in its log when it takes the lead.
+void primary_change::resume_ordered(instant now)
+{
+    const std::string& state = program_->state_name(state_);
+    const bool ordered = state == "promoting" || state == "confirming";
+    if (ordered && options_.sync_replicas() > 0 && orders_->only(ordered_member_, now)) {
+        pauses_.resume(ordered_member_, now);
+    }
+}
+
 /// Resumes replication once this daemon knows the leader and no promotion can replace it any more.
 void primary_change::resume_replicas(instant now)
 {
--- a/src/primary_change/primary_change.h
+++ b/src/primary_change/primary_change.h
@@ -130,6 +130,7 @@
     [[nodiscard]] bool may_hand_over(instant now) const;
     void note_wait(instant now);
     [[nodiscard]] std::optional<std::string> least_lagging_candidate() const;
+    void resume_ordered(instant now);
     void resume_replicas(instant now);
     void order_promotion(instant now);
     void step_leader_down(instant now);
--- a/src/primary_change/replica_pauses.cc
+++ b/src/primary_change/replica_pauses.cc
@@ -43,7 +43,8 @@
 
 void replica_pauses::resume(const std::string& member, instant now)
 {
-    const connection_number connection = resuming_.contains(member) ? 0 : pool_.acquire(member, {}, now);
+    const bool due = paused_.contains(member) && !resuming_.contains(member);
+    const connection_number connection = due ? pool_.acquire(member, {}, now) : 0;
     if (connection == 0) {
         return;
     }
--- a/src/primary_change/replica_pauses.h
+++ b/src/primary_change/replica_pauses.h
@@ -47,6 +47,9 @@
     /// since.
     [[nodiscard]] bool may_resume(const std::string& member, instant now) const;
 
+    /// Resumes replication on one member, unless that is done or under way.
+    void resume(const std::string& member, instant now);
+
     /// Asks replicas whether they are paused, if that is due. Call it every few tens of milliseconds while replication
     /// must not be resumed yet; tick() does it as well.
     void look_at_replicas(instant now);
@@ -59,7 +62,6 @@
     void tick(std::uint64_t fence, instant now);
 
 private:
-    void resume(const std::string& member, instant now);
     void on_resumed(const std::string& member, connection_number connection, const exchange_outcome& outcome,
                     instant now);
     void look_at(const std::string& member, instant now);
--- a/tests/unanswered_orders_test.cc
+++ b/tests/unanswered_orders_test.cc
@@ -333,3 +333,27 @@
     CHECK(load.acknowledged_since(recovered) > 100);
     CHECK(load.lost().empty());
 }
+
+TEST_CASE("a primary that returns while a promotion is open has its writes acknowledged", "[orders]")
+{
+    // Guards against seconds without writes: the ordered member may receive, because it leads with what it has
+    // received.
+    gateway_simulation simulation({.daemons = 3, .sync_replicas = 1});
+    write_load load(simulation, 6);
+    load.run(6s);
+    const std::string primary = simulation.leader();
+    simulation.delay_promotions(late);
+    simulation.silence_member(primary);
+    REQUIRE(simulation.lock_holder());
+    REQUIRE(run_until_promotion_ordered(simulation, load, *simulation.lock_holder()));
+    simulation.heal_member(primary);
+    load.run(2s);
+    const instant open = simulation.now();
+    load.run(3s);
+    REQUIRE(simulation.leader() == primary);
+    CHECK(load.acknowledged_since(open) > 100);
+    simulation.delay_promotions(std::nullopt);
+    load.run(12s);
+    CHECK(load.lost().empty());
+    CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
+}
