Take a lock again whose token was rejected, until that succeeds

It can happen on any deployment: after two rejections of its token a daemon held the failover lock and could not use it, and no other daemon could take it, so a lost primary was not replaced. Cause: after the second rejection the token was raised by one write to the store. If that was held back by the minimum interval of writes, or the store refused it, nothing repeated it. Change: a lock with a rejected token counts as one that has to be claimed, which is repeated until it has a higher token.

--- a/src/registration/daemon_registrar.cc
+++ b/src/registration/daemon_registrar.cc
@@ -159,7 +159,8 @@
 {
     const auto held = directory_.failover_locks().find(service);
     const bool held_by_other = held != directory_.failover_locks().end() && held->second->holder != options_.self->name;
-    if (held_by_other || (held != directory_.failover_locks().end() && is_own(held->second))) {
+    const bool own = held != directory_.failover_locks().end() && is_own(held->second);
+    if (held_by_other || (own && !is_rejected(held->second))) {
         free_since_.erase(service);
         return std::nullopt;
     }
@@ -167,8 +168,8 @@
     if (!free && held->second->acquired_at.era != registration_lease_->era()) {
         return std::nullopt; // The present revision is not known before the restored store has been read.
     }
-    // Free, or held by an earlier run or lease of this daemon, from which it takes the lock over with a higher fencing
-    // token.
+    // Free, or held by an earlier run or lease of this daemon or with a token that the platform rejected: it takes the
+    // lock over with a higher fencing token.
     const instant since = free_since_.try_emplace(service, now).first->second;
     const instant turn = since + claim_delay_per_position * static_cast<int>(order);
     if (free && now < turn) {
@@ -239,8 +240,7 @@
     if (deregistered_ || held == directory_.failover_locks().end() || !is_own(held->second)) {
         return std::nullopt;
     }
-    const auto refused = refused_fences_.find(service);
-    if (refused != refused_fences_.end() && refused->second >= fencing_token(held->second->acquired_at)) {
+    if (is_rejected(held->second)) {
         return std::nullopt;
     }
     if (!lock_lease_->valid(now) && !options_.fences_enforced) {
@@ -259,9 +259,17 @@
     return fencing_token(held->second->acquired_at);
 }
 
+/// Whether the platform has rejected the lock's fencing token.
+bool daemon_registrar::is_rejected(const failover_lock& lock) const
+{
+    const auto refused = refused_fences_.find(lock->service);
+    return refused != refused_fences_.end() && refused->second >= fencing_token(lock->acquired_at);
+}
+
 void daemon_registrar::fence_refused(const std::string& service, std::uint64_t fence)
 {
     refused_fences_[service] = std::max(refused_fences_[service], fence);
+    claims_due_ = instant{}; // At once; repeated until the lock has a higher token.
 }
 
 void daemon_registrar::raise_fence(const std::string& service, instant now)
--- a/src/registration/daemon_registrar.h
+++ b/src/registration/daemon_registrar.h
@@ -70,7 +70,8 @@
     /// ended.
     [[nodiscard]] std::optional<std::uint64_t> held_lasting_lock(const std::string& name, instant now) const;
 
-    /// Reports that the platform rejected `fence` because it has seen a higher token: the lock is no longer held.
+    /// Reports that the platform rejected `fence` because it has seen a higher token: the lock is no longer held, and
+    /// is taken again.
     void fence_refused(const std::string& service, std::uint64_t fence);
 
     /// Acquires the lock of a service again to get a higher fencing token, so that the platform rejects an earlier
@@ -100,6 +101,7 @@
     [[nodiscard]] lease_client& lease_of(const std::string& lock) const;
     void write_lock(const std::string& lock, const std::string& value, kv_revision expected, instant now);
     [[nodiscard]] bool is_own(const failover_lock& lock) const;
+    [[nodiscard]] bool is_rejected(const failover_lock& lock) const;
 
     daemon_registrar_options options_;
     const service_directory& directory_;
--- a/tests/change_positions_test.cc
+++ b/tests/change_positions_test.cc
@@ -129,3 +129,22 @@
     CHECK(load.lost().empty());
     CHECK(load.acknowledged_since(simulation.now() - 2s) > 100);
 }
+
+TEST_CASE("a holder whose token was rejected takes the lock again once the store lets it", "[positions]")
+{
+    // Guards against a lock that is held and cannot be used for good: its token was rejected twice, and the attempt to
+    // raise it failed.
+    gateway_simulation simulation({.daemons = 3});
+    write_load load(simulation, 6);
+    load.run(2s);
+    REQUIRE(simulation.lock_holder());
+    const std::size_t holder = *simulation.lock_holder();
+    simulation.reject_promotions(2);
+    simulation.refuse_store(holder, true);
+    simulation.crash_member(simulation.leader());
+    load.run(1s);
+    simulation.refuse_store(holder, false);
+    CHECK(time_to_leader(simulation, load));
+    load.run(2s);
+    CHECK(load.acknowledged_since(simulation.now() - 1s) > 50);
+}
