--- a/tests/sync_commits_test.cc
+++ b/tests/sync_commits_test.cc
@@ -161,20 +161,20 @@
     }
 }
 
-TEST_CASE("no acknowledged commit is lost on many seeds", "[.sync_commits_long]")
+TEST_CASE("seeds that once lost acknowledged commits or the service hold", "[sync_commits]")
 {
-    // By hand: the same as above on 1,000 seeds.
-    for (std::uint64_t seed = 1000; seed < 2000; ++seed) {
+    // 1082, 1581: a replica restarted while the order of a daemon that had ended was open. 1484: a request to resume of
+    // an earlier holder was carried out late. 1818: the same of the holder itself. 1353: a rejected token was not
+    // raised.
+    for (const std::uint64_t seed : {1082U, 1353U, 1484U, 1581U, 1818U}) {
         check_seed(seed);
     }
 }
 
-TEST_CASE("no acknowledged commit is lost by replicas that receive in spite of a pause", "[.known_red]")
+TEST_CASE("no acknowledged commit is lost on many seeds", "[.sync_commits_long]")
 {
-    // Guards against commits that a replica lets the former primary acknowledge while the promotion of another one is
-    // open: 1082 and 1581, it has restarted; 1484, a request to resume of an earlier holder of the lock is carried out
-    // late.
-    for (const std::uint64_t seed : {1082U, 1484U, 1581U}) {
+    // By hand: the same as above on 1,000 seeds.
+    for (std::uint64_t seed = 1000; seed < 2000; ++seed) {
         check_seed(seed);
     }
 }
